Add the design page, core modules, settings, and module contracts

The design page fixes the modules, their interfaces, the state with its owner, the messages and the behaviour under failure, so that router, agent, control plane and placement can be built independently against the same headers.

--- /dev/null
+++ b/src/cli/cli_main.cc
@@ -0,0 +1,6 @@
+#include <iostream>
+
+int main() {
+  std::cerr << "not built yet\n";
+  return 2;
+}
--- /dev/null
+++ b/src/core/clock.h
@@ -0,0 +1,32 @@
+#ifndef WAGTAILWIND_CORE_CLOCK_H_
+#define WAGTAILWIND_CORE_CLOCK_H_
+
+#include <chrono>
+
+namespace wagtailwind {
+
+using SteadyTime = std::chrono::steady_clock::time_point;
+using WallTime = std::chrono::system_clock::time_point;
+
+/// \brief Source of time. Decision code takes it as a parameter, so that tests can set the time.
+class Clock {
+ public:
+  virtual ~Clock() = default;
+
+  /// \brief Monotonic time, for intervals and deadlines.
+  [[nodiscard]] virtual SteadyTime Now() const noexcept = 0;
+
+  /// \brief Wall-clock time, for values that leave the process.
+  [[nodiscard]] virtual WallTime WallNow() const noexcept = 0;
+};
+
+/// \brief The machine's clocks.
+class SystemClock final : public Clock {
+ public:
+  [[nodiscard]] SteadyTime Now() const noexcept override;
+  [[nodiscard]] WallTime WallNow() const noexcept override;
+};
+
+}  // namespace wagtailwind
+
+#endif  // WAGTAILWIND_CORE_CLOCK_H_
--- /dev/null
+++ b/src/endpoint/model_engine.h
@@ -0,0 +1,101 @@
+#ifndef WAGTAILWIND_ENDPOINT_MODEL_ENGINE_H_
+#define WAGTAILWIND_ENDPOINT_MODEL_ENGINE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "core/ids.h"
+
+namespace wagtailwind::endpoint {
+
+/// \brief How a transfer to an endpoint ended.
+enum class TransferEnd {
+  kComplete,
+  /// No byte of the request reached the endpoint.
+  kNotSent,
+  /// The connection was lost, or the answer was malformed, after sending began.
+  kConnectionLost,
+  kDeadlineExceeded,
+  kCancelled,
+};
+
+/// \brief Receives a generation. Calls come from one thread at a time, in order.
+class GenerationSink {
+ public:
+  virtual ~GenerationSink() = default;
+
+  /// \brief The engine accepted the request. `stream_id` resumes or cancels it; `cached_tokens`
+  /// were found in the prefix cache. A status of 400 or more is followed by the error body.
+  virtual void OnAccepted(int status, std::string_view stream_id, std::uint32_t cached_tokens) = 0;
+
+  /// \brief Bytes of the answer, as the engine's protocol has them.
+  virtual void OnData(std::string_view data) = 0;
+
+  /// \brief The end; no call follows.
+  virtual void OnEnd(TransferEnd end) = 0;
+};
+
+/// \brief One request to an engine.
+struct GenerationRequest {
+  RequestId request_id{};
+  /// The caller's JSON body.
+  std::string body;
+  bool stream = false;
+  std::uint32_t priority_rank = 0;
+  std::chrono::milliseconds timeout{30'000};
+};
+
+/// \brief A transfer in progress. Destroying the handle does not cancel the transfer.
+class Transfer {
+ public:
+  virtual ~Transfer() = default;
+
+  /// \brief Ends the transfer; OnEnd(kCancelled) follows unless it had already ended.
+  virtual void Cancel() = 0;
+};
+
+/// \brief State that an engine reports.
+struct EngineStatus {
+  /// Differs after a restart of the engine.
+  std::string engine_incarnation;
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint64_t cache_tokens_used = 0;
+  std::uint64_t cache_tokens_limit = 0;
+};
+
+/// \brief A model engine. Calls don't block, except Status() and SendOrder().
+class ModelEngine {
+ public:
+  virtual ~ModelEngine() = default;
+
+  /// \brief Starts a generation.
+  [[nodiscard]] virtual std::shared_ptr<Transfer> Generate(
+      const GenerationRequest& request, std::shared_ptr<GenerationSink> sink) = 0;
+
+  /// \brief Continues a stream after `offset` bytes of its answer. OnAccepted with status 404
+  /// follows if the engine does not know the stream (any more).
+  [[nodiscard]] virtual std::shared_ptr<Transfer> Resume(std::string_view stream_id,
+                                                         std::uint64_t offset,
+                                                         std::chrono::milliseconds timeout,
+                                                         std::shared_ptr<GenerationSink> sink) = 0;
+
+  /// \brief Tells the engine to stop a stream; best effort.
+  virtual void CancelStream(std::string_view stream_id) = 0;
+
+  /// \brief Reads the engine's state; empty if it does not answer.
+  [[nodiscard]] virtual std::optional<EngineStatus> Status() = 0;
+
+  /// \brief Orders the engine to load a model version; false if refused for an old fencing number
+  /// or not reached.
+  [[nodiscard]] virtual bool OrderLoad(const ModelName& model, std::string_view version,
+                                       std::uint64_t fencing_number) = 0;
+};
+
+}  // namespace wagtailwind::endpoint
+
+#endif  // WAGTAILWIND_ENDPOINT_MODEL_ENGINE_H_
--- /dev/null
+++ b/src/http/message.cc
@@ -0,0 +1,58 @@
+#include "http/message.h"
+
+#include <utility>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/escaping.h"
+#include "absl/strings/match.h"
+#include "absl/strings/str_split.h"
+
+namespace wagtailwind::http {
+
+namespace {
+
+std::string PercentDecode(std::string_view text) {
+  std::string decoded;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const bool is_escape = text[i] == '%' && i + 2 < text.size() &&
+                           absl::ascii_isxdigit(static_cast<unsigned char>(text[i + 1])) &&
+                           absl::ascii_isxdigit(static_cast<unsigned char>(text[i + 2]));
+    if (is_escape) {
+      decoded += absl::HexStringToBytes(absl::string_view(text.data() + i + 1, 2));
+      i += 2;
+    } else {
+      decoded.push_back(text[i] == '+' ? ' ' : text[i]);
+    }
+  }
+  return decoded;
+}
+
+absl::string_view ToAbsl(std::string_view text) noexcept { return {text.data(), text.size()}; }
+
+}  // namespace
+
+std::string_view FindHeader(const std::vector<Header>& headers, std::string_view name) noexcept {
+  for (const Header& header : headers) {
+    if (absl::EqualsIgnoreCase(header.name, ToAbsl(name))) {
+      return header.value;
+    }
+  }
+  return {};
+}
+
+std::string QueryParameter(std::string_view query, std::string_view name) {
+  for (const absl::string_view pair : absl::StrSplit(ToAbsl(query), '&')) {
+    const std::pair<absl::string_view, absl::string_view> parts =
+        absl::StrSplit(pair, absl::MaxSplits('=', 1));
+    if (parts.first == ToAbsl(name)) {
+      return PercentDecode({parts.second.data(), parts.second.size()});
+    }
+  }
+  return {};
+}
+
+Response JsonResponse(int status, std::string body) {
+  return {status, {{"Content-Type", "application/json"}}, std::move(body)};
+}
+
+}  // namespace wagtailwind::http
--- /dev/null
+++ b/src/http/socket_address.h
@@ -0,0 +1,52 @@
+#ifndef WAGTAILWIND_HTTP_SOCKET_ADDRESS_H_
+#define WAGTAILWIND_HTTP_SOCKET_ADDRESS_H_
+
+#include <sys/socket.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "core/error.h"
+
+namespace wagtailwind::http {
+
+namespace detail {
+struct MalformedAddressTag {
+  static constexpr const char* kName = "malformed_address";
+};
+}  // namespace detail
+
+/// \brief A text is not `ip:port`.
+using MalformedAddress = wagtailwind::detail::NamedError<detail::MalformedAddressTag>;
+
+/// \brief An IP address with a port, in the form that the socket calls take.
+class SocketAddress {
+ public:
+  SocketAddress(const sockaddr_storage& storage, socklen_t size) noexcept
+      : m_storage(storage), m_size(size) {}
+
+  [[nodiscard]] const sockaddr* Get() const noexcept {
+    return reinterpret_cast<const sockaddr*>(&m_storage);
+  }
+  [[nodiscard]] socklen_t Size() const noexcept { return m_size; }
+
+  /// \brief The host; an IPv6 address is in brackets.
+  [[nodiscard]] std::string HostText() const;
+
+  /// \brief `ip:port`.
+  [[nodiscard]] std::string Text() const;
+
+ private:
+  [[nodiscard]] std::uint16_t Port() const noexcept;
+
+  sockaddr_storage m_storage;
+  socklen_t m_size;
+};
+
+/// \brief Parses `ip:port`; throws MalformedAddress.
+[[nodiscard]] SocketAddress ParseSocketAddress(std::string_view text);
+
+}  // namespace wagtailwind::http
+
+#endif  // WAGTAILWIND_HTTP_SOCKET_ADDRESS_H_
--- /dev/null
+++ b/src/requests/outcome.h
@@ -0,0 +1,62 @@
+#ifndef WAGTAILWIND_REQUESTS_OUTCOME_H_
+#define WAGTAILWIND_REQUESTS_OUTCOME_H_
+
+#include <cstdint>
+#include <string_view>
+
+namespace wagtailwind::requests {
+
+/// \brief What a caller can be told about a request.
+enum class Outcome : std::uint8_t {
+  /// The answer of the endpoint.
+  kResult,
+  /// The request was not run and will not be run.
+  kNotRun,
+  /// The request may or may not have been run.
+  kUnknown,
+};
+
+/// \brief The form of the `Wagtailwind-Outcome` header: `result`, `not-run` or `unknown`.
+[[nodiscard]] std::string_view ToText(Outcome outcome) noexcept;
+
+/// \brief Why an attempt or a request had no result.
+enum class FailureReason : std::uint8_t {
+  kNone,
+  kMalformedRequest,
+  kUnknownOrganisation,
+  kUnknownModel,
+  kUnknownService,
+  kBodyTooLarge,
+  kHeadersTooLarge,
+  kMissingRequestKey,
+  kInvalidRequestKey,
+  kRequestKeyExpired,
+  kRequestKeyAlreadyUsed,
+  kOrganisationOverShare,
+  kOverBound,
+  kRedirected,
+  kDraining,
+  kEndpointUnhealthy,
+  kNoEndpoint,
+  kFleetFull,
+  kPlatformUnavailable,
+  kDeadlineExceeded,
+  kConnectionLost,
+  kAgentLost,
+  kEngineLost,
+  kAnswerTooLarge,
+  kAnswerNotFound,
+  kShutdownTimeout,
+  kCancelled,
+  kNotReady,
+};
+
+/// \brief Stable snake-case name of a reason, as in JSON error bodies.
+[[nodiscard]] std::string_view ToText(FailureReason reason) noexcept;
+
+/// \brief HTTP status of a failure.
+[[nodiscard]] int HttpStatus(FailureReason reason) noexcept;
+
+}  // namespace wagtailwind::requests
+
+#endif  // WAGTAILWIND_REQUESTS_OUTCOME_H_
--- /dev/null
+++ b/tests/stand_ins/stand_in_program.cc
@@ -0,0 +1,24 @@
+#include "stand_ins/stand_in_program.h"
+
+#include <csignal>
+#include <iostream>
+#include <utility>
+
+namespace wagtailwind::stand_ins {
+
+int RunStandIn(const std::string& listen_address, http::Server::Handler handler) {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  // Blocked before the server starts its threads, so that only sigwait() below takes them.
+  sigprocmask(SIG_BLOCK, &signals, nullptr);
+  const http::Server server(listen_address, std::move(handler));
+  std::cout << R"({"listening":")" << server.Address() << "\"}" << std::endl;
+  int signal = 0;
+  sigwait(&signals, &signal);
+  // Connections may be blocked in a handler for long; a stand-in keeps nothing worth a clean end.
+  std::_Exit(0);
+}
+
+}  // namespace wagtailwind::stand_ins
--- /dev/null
+++ b/tests/support/fake_clock.h
@@ -0,0 +1,34 @@
+#ifndef WAGTAILWIND_TESTS_SUPPORT_FAKE_CLOCK_H_
+#define WAGTAILWIND_TESTS_SUPPORT_FAKE_CLOCK_H_
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+
+#include "core/clock.h"
+
+namespace wagtailwind::testing {
+
+/// \brief A clock that moves only when told to.
+class FakeClock final : public Clock {
+ public:
+  [[nodiscard]] SteadyTime Now() const noexcept override {
+    return SteadyTime(std::chrono::nanoseconds(m_nanoseconds.load()));
+  }
+
+  [[nodiscard]] WallTime WallNow() const noexcept override {
+    constexpr std::chrono::seconds kEpoch{1'790'000'000};
+    return WallTime(std::chrono::duration_cast<WallTime::duration>(
+        kEpoch + std::chrono::nanoseconds(m_nanoseconds.load())));
+  }
+
+  void Advance(std::chrono::nanoseconds by) noexcept { m_nanoseconds += by.count(); }
+
+ private:
+  // Starts above zero, so that "long ago" can be expressed by subtraction.
+  std::atomic<std::int64_t> m_nanoseconds{std::chrono::nanoseconds(std::chrono::hours(1)).count()};
+};
+
+}  // namespace wagtailwind::testing
+
+#endif  // WAGTAILWIND_TESTS_SUPPORT_FAKE_CLOCK_H_
