--- a/src/requests/claim_log.h
+++ b/src/requests/claim_log.h
@@ -18,7 +18,7 @@
 namespace wagtailwind::requests {
 
 /// \brief Number of claim partitions of one service.
-inline constexpr std::uint32_t kClaimPartitions = 64;
+inline constexpr std::uint32_t kClaimPartitions = 16;
 
 /// \brief A caller's key for one call, checked: UUID version 7.
 struct RequestKey {
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include <filesystem>
 #include <string>
 
 namespace {
@@ -69,3 +70,17 @@
   cr_assert_eq(ErrorName("role: [agent"), "settings_syntax@1 (document)");
   cr_assert_eq(ErrorName("just text"), "settings_wrong_type@1 ");
 }
+
+// Guards against example files that drift from the parser.
+Test(settings, all_example_files_are_accepted) {
+  int files = 0;
+  const std::filesystem::path examples = std::filesystem::path(WAGTAILWIND_SOURCE_DIR) / "examples";
+  for (const auto& entry : std::filesystem::recursive_directory_iterator(examples)) {
+    const std::string name = entry.path().filename();
+    if (name.starts_with("router") || name.starts_with("agent")) {
+      cr_assert_not(wagtailwind::settings::ReadSettings(entry.path()).instance.empty());
+      ++files;
+    }
+  }
+  cr_assert_geq(files, 6);
+}
