Add the endpoint adapters, the agent's request path and the stand-ins

Cause: agents need a path from the RPC listener to the endpoint that never sends a call that must not be repeated twice, and tests need endpoints with faults.

Ruled out: relying on libcurl's error code to tell an unsent request, since the code does not say whether a connection was reused; the connect time does. Joining streams by request id, since a restarted engine could then continue with other text; stream ids carry the engine's incarnation.

Conclusion: HttpModelEngine and HttpPlainService share one curl-multi thread; ExecutionFlow runs attempts, AgentServer serves them by RPC.

--- /dev/null
+++ b/src/agent/attempt_table.cc
@@ -0,0 +1,69 @@
+#include "agent/attempt_table.h"
+
+#include <utility>
+
+namespace wagtailwind::agent {
+
+Admission AttemptTable::Decision::ToAdmission() const {
+  Admission admission;
+  admission.refusal = refusal;
+  if (admitted) {
+    admission.answer = answer.lock();
+    admission.execution = execution.lock();
+    if (!admission.answer) {
+      // The attempt ran, but its answer is no longer kept.
+      admission.refusal.reason = requests::FailureReason::kAnswerNotFound;
+      admission.refusal.outcome = requests::Outcome::kUnknown;
+    }
+  }
+  return admission;
+}
+
+bool AttemptTable::Register(const AttemptId& id, AdmissionCallback callback) {
+  std::optional<Decision> decided;
+  {
+    const absl::MutexLock lock(&m_mutex);
+    const auto [found, is_new] = m_entries.try_emplace(id);
+    if (!is_new && found->second.decision) {
+      decided = found->second.decision;
+    } else {
+      found->second.waiting.push_back(std::move(callback));
+    }
+    if (is_new) {
+      m_order.push_back(id);
+      if (m_order.size() > m_capacity) {
+        m_entries.erase(m_order.front());
+        m_order.pop_front();
+      }
+      return true;
+    }
+  }
+  if (decided) {
+    callback(decided->ToAdmission());
+  }
+  return false;
+}
+
+void AttemptTable::Decide(const AttemptId& id, const Admission& admission) {
+  std::vector<AdmissionCallback> waiting;
+  {
+    const absl::MutexLock lock(&m_mutex);
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end() || found->second.decision) {
+      return;
+    }
+    found->second.decision = Decision{admission.answer != nullptr, admission.answer,
+                                      admission.execution, admission.refusal};
+    waiting.swap(found->second.waiting);
+  }
+  for (const AdmissionCallback& callback : waiting) {
+    callback(admission);
+  }
+}
+
+std::size_t AttemptTable::Size() const {
+  const absl::MutexLock lock(&m_mutex);
+  return m_entries.size();
+}
+
+}  // namespace wagtailwind::agent
--- /dev/null
+++ b/src/agent/attempt_table.h
@@ -0,0 +1,54 @@
+#ifndef WAGTAILWIND_AGENT_ATTEMPT_TABLE_H_
+#define WAGTAILWIND_AGENT_ATTEMPT_TABLE_H_
+
+#include <cstddef>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/synchronization/mutex.h"
+#include "agent/agent_call.h"
+
+namespace wagtailwind::agent {
+
+/// \brief Recent attempts with their decisions, bounded in number, so that a duplicated message
+/// does not run a call twice. Safe to use from several threads.
+class AttemptTable {
+ public:
+  explicit AttemptTable(std::size_t capacity) : m_capacity(capacity) {}
+
+  /// \brief Registers an attempt; true if it is new. The callback is called by Decide(), or at
+  /// once if the attempt has been decided.
+  [[nodiscard]] bool Register(const AttemptId& id, AdmissionCallback callback);
+
+  /// \brief Sets the decision and passes it to all callbacks of the attempt.
+  void Decide(const AttemptId& id, const Admission& admission);
+
+  [[nodiscard]] std::size_t Size() const;
+
+ private:
+  /// Holds the answer weakly, so that the table does not prolong its retention.
+  struct Decision {
+    bool admitted = false;
+    std::weak_ptr<StoredAnswer> answer;
+    std::weak_ptr<Execution> execution;
+    Refusal refusal;
+
+    [[nodiscard]] Admission ToAdmission() const;
+  };
+  struct Entry {
+    std::optional<Decision> decision;
+    std::vector<AdmissionCallback> waiting;
+  };
+
+  const std::size_t m_capacity;
+  mutable absl::Mutex m_mutex;
+  absl::flat_hash_map<AttemptId, Entry> m_entries ABSL_GUARDED_BY(m_mutex);
+  std::deque<AttemptId> m_order ABSL_GUARDED_BY(m_mutex);
+};
+
+}  // namespace wagtailwind::agent
+
+#endif  // WAGTAILWIND_AGENT_ATTEMPT_TABLE_H_
--- /dev/null
+++ b/src/agent/flow_core.cc
@@ -0,0 +1,76 @@
+#include "agent/flow_core.h"
+
+#include <string>
+#include <utility>
+
+#include "absl/time/time.h"
+
+namespace wagtailwind::agent {
+
+namespace {
+
+constexpr std::size_t kRememberedPrefixes = 16'384;
+
+std::string EndMetric(const AnswerEnd& end) {
+  return "agent_answers_total{outcome=\"" + std::string(requests::ToText(end.outcome)) +
+         "\",reason=\"" + std::string(requests::ToText(end.reason)) + "\"}";
+}
+
+}  // namespace
+
+FlowCore::FlowCore(FlowParts flow_parts, FlowSettings flow_settings)
+    : parts(flow_parts),
+      settings(std::move(flow_settings)),
+      answers(settings.answers, parts.clock),
+      results(settings.results, parts.clock),
+      attempts(settings.remembered_attempts),
+      prefixes(kRememberedPrefixes) {}
+
+std::uint64_t FlowCore::Add(std::shared_ptr<Execution> execution, std::uint64_t reservation) {
+  const absl::MutexLock lock(&m_mutex);
+  m_running[m_next_number] = {std::move(execution), reservation};
+  return m_next_number++;
+}
+
+void FlowCore::Finish(std::uint64_t number, StoredAnswer& answer, AnswerEnd end) {
+  Entry entry;
+  {
+    const absl::MutexLock lock(&m_mutex);
+    const auto found = m_running.find(number);
+    if (found == m_running.end()) {
+      return;
+    }
+    entry = found->second;
+  }
+  parts.gate.Release(entry.reservation);
+  parts.metrics.GetCounter(EndMetric(end)).Add();
+  answer.SetEnd(end);
+  // Last, because the flow may be destroyed once nothing runs.
+  const absl::MutexLock lock(&m_mutex);
+  m_running.erase(number);
+}
+
+std::vector<std::shared_ptr<Execution>> FlowCore::Running() const {
+  const absl::MutexLock lock(&m_mutex);
+  std::vector<std::shared_ptr<Execution>> running;
+  running.reserve(m_running.size());
+  for (const auto& [number, entry] : m_running) {
+    running.push_back(entry.execution);
+  }
+  return running;
+}
+
+std::size_t FlowCore::RunningCount() const {
+  const absl::MutexLock lock(&m_mutex);
+  return m_running.size();
+}
+
+bool FlowCore::WaitIdle(std::chrono::milliseconds timeout) const {
+  const auto idle = [this]() ABSL_SHARED_LOCKS_REQUIRED(m_mutex) { return m_running.empty(); };
+  m_mutex.LockWhenWithTimeout(absl::Condition(&idle), absl::FromChrono(timeout));
+  const bool is_idle = m_running.empty();
+  m_mutex.Unlock();
+  return is_idle;
+}
+
+}  // namespace wagtailwind::agent
--- /dev/null
+++ b/src/agent/result_table.h
@@ -0,0 +1,69 @@
+#ifndef WAGTAILWIND_AGENT_RESULT_TABLE_H_
+#define WAGTAILWIND_AGENT_RESULT_TABLE_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "absl/synchronization/mutex.h"
+#include "agent/stored_answer.h"
+
+namespace wagtailwind::agent {
+
+/// \brief Bounds of a result table.
+struct ResultLimits {
+  std::size_t max_total_bytes = std::size_t{8} << 20U;
+  std::size_t max_results = 50'000;
+  std::chrono::milliseconds retention{600'000};
+};
+
+/// \brief Answers by organisation and request key, so that a repeated key gets the same answer.
+/// Safe to use from several threads.
+class ResultTable {
+ public:
+  enum class State {
+    /// No usable answer: the caller's answer was entered.
+    kEntered,
+    /// The same call runs or has a result.
+    kReplay,
+    /// The key was used for another call, or for a call whose outcome is unknown.
+    kConflict,
+  };
+  struct Lookup {
+    State state = State::kEntered;
+    std::shared_ptr<StoredAnswer> answer;
+  };
+
+  ResultTable(ResultLimits limits, const Clock& clock) : m_limits(limits), m_clock(clock) {}
+
+  /// \brief Finds the answer of a key, or enters `answer` for it. `call_hash` tells whether it is
+  /// the same call. With `may_run_again`, an answer that failed is replaced.
+  [[nodiscard]] Lookup FindOrEnter(const OrganisationName& organisation, const std::string& key,
+                                   std::uint64_t call_hash, bool may_run_again,
+                                   const std::shared_ptr<StoredAnswer>& answer);
+
+  /// \brief Removes results whose retention has passed, and the oldest ones above the limits.
+  void RemoveExpired();
+
+  [[nodiscard]] std::size_t Count() const;
+
+ private:
+  using Key = std::pair<OrganisationName, std::string>;
+  struct Result {
+    std::uint64_t call_hash = 0;
+    std::shared_ptr<StoredAnswer> answer;
+  };
+
+  const ResultLimits m_limits;
+  const Clock& m_clock;
+  mutable absl::Mutex m_mutex;
+  std::map<Key, Result> m_results ABSL_GUARDED_BY(m_mutex);
+};
+
+}  // namespace wagtailwind::agent
+
+#endif  // WAGTAILWIND_AGENT_RESULT_TABLE_H_
--- a/src/endpoint/model_engine.h
+++ b/src/endpoint/model_engine.h
@@ -17,8 +17,12 @@
   kComplete,
   /// No byte of the request reached the endpoint.
   kNotSent,
-  /// The connection was lost, or the answer was malformed, after sending began.
+  /// The connection was lost after sending may have begun.
   kConnectionLost,
+  /// The answer breaks the protocol, or it can't be told whether it is whole.
+  kMalformedAnswer,
+  /// The answer is over the limit; the rest was not read.
+  kAnswerTooLarge,
   kDeadlineExceeded,
   kCancelled,
 };
--- /dev/null
+++ b/src/requests/answer_id.h
@@ -0,0 +1,30 @@
+#ifndef WAGTAILWIND_REQUESTS_ANSWER_ID_H_
+#define WAGTAILWIND_REQUESTS_ANSWER_ID_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "core/ids.h"
+
+namespace wagtailwind::requests {
+
+/// \brief Names an answer and the agent process that keeps it.
+struct AnswerId {
+  EndpointName endpoint;
+  Incarnation agent_incarnation = 0;
+  /// 128 random bits, so that ids can't be guessed.
+  RequestId number{};
+
+  friend bool operator==(const AnswerId&, const AnswerId&) = default;
+};
+
+/// \brief `<endpoint>~<incarnation>~<number>`, both in hexadecimal; contains no slash.
+[[nodiscard]] std::string ToText(const AnswerId& id);
+
+/// \brief Parses the form that ToText() writes; empty if malformed.
+[[nodiscard]] std::optional<AnswerId> ParseAnswerId(std::string_view text);
+
+}  // namespace wagtailwind::requests
+
+#endif  // WAGTAILWIND_REQUESTS_ANSWER_ID_H_
--- /dev/null
+++ b/tests/stand_ins/service_stand_in.h
@@ -0,0 +1,65 @@
+#ifndef WAGTAILWIND_TESTS_STAND_INS_SERVICE_STAND_IN_H_
+#define WAGTAILWIND_TESTS_STAND_INS_SERVICE_STAND_IN_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "http/server.h"
+
+namespace wagtailwind::stand_ins {
+
+/// \brief A plain service with calls that must not be repeated, and lookups.
+class ServiceStandIn {
+ public:
+  explicit ServiceStandIn(std::string name) : m_name(std::move(name)) {}
+
+  [[nodiscard]] http::HandlerResult Handle(const http::Request& request);
+
+ private:
+  /// Faults that POST /control sets.
+  struct Faults {
+    int fail_next = 0;
+    int fail_status = 503;
+    int cut_next = 0;
+    int delay_next = 0;
+    std::chrono::milliseconds delay_before{0};
+    std::chrono::milliseconds delay_after{0};
+    bool freeze = false;
+  };
+  struct Execution {
+    std::uint64_t number = 0;
+    std::string method;
+    std::string path;
+    std::string key;
+    std::string body_hash;
+    bool repeatable = false;
+    std::int64_t start_ms = 0;
+    std::int64_t end_ms = 0;
+  };
+  /// Faults that one call meets.
+  struct CallFaults {
+    int status = 0;
+    bool cut = false;
+    std::chrono::milliseconds delay_before{0};
+    std::chrono::milliseconds delay_after{0};
+  };
+
+  http::HandlerResult Call(const http::Request& request, bool repeatable);
+  http::HandlerResult Control(const http::Request& request);
+  http::HandlerResult History();
+  [[nodiscard]] CallFaults TakeFaults(bool repeatable);
+  [[nodiscard]] Execution Execute(const http::Request& request, bool repeatable);
+
+  const std::string m_name;
+  absl::Mutex m_mutex;
+  Faults m_faults ABSL_GUARDED_BY(m_mutex);
+  std::vector<Execution> m_history ABSL_GUARDED_BY(m_mutex);
+};
+
+}  // namespace wagtailwind::stand_ins
+
+#endif  // WAGTAILWIND_TESTS_STAND_INS_SERVICE_STAND_IN_H_
--- a/tests/stand_ins/stand_in_program.cc
+++ b/tests/stand_ins/stand_in_program.cc
@@ -6,13 +6,27 @@
 
 namespace wagtailwind::stand_ins {
 
-int RunStandIn(const std::string& listen_address, http::Server::Handler handler) {
+namespace {
+
+sigset_t StopSignals() {
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
-  // Blocked before the server starts its threads, so that only sigwait() below takes them.
+  return signals;
+}
+
+}  // namespace
+
+void BlockStopSignals() {
+  const sigset_t signals = StopSignals();
   sigprocmask(SIG_BLOCK, &signals, nullptr);
+}
+
+int RunStandIn(const std::string& listen_address, http::Server::Handler handler) {
+  // Blocked before the server starts its threads, so that only sigwait() below takes them.
+  BlockStopSignals();
+  const sigset_t signals = StopSignals();
   const http::Server server(listen_address, std::move(handler));
   std::cout << R"({"listening":")" << server.Address() << "\"}" << std::endl;
   int signal = 0;
--- a/tests/stand_ins/stand_in_program.h
+++ b/tests/stand_ins/stand_in_program.h
@@ -7,6 +7,10 @@
 
 namespace wagtailwind::stand_ins {
 
+/// \brief Blocks SIGTERM and SIGINT, so that only RunStandIn() takes them. A stand-in with threads
+/// of its own calls this before it starts them.
+void BlockStopSignals();
+
 /// \brief Runs a stand-in until SIGTERM or SIGINT: listens, and prints `{"listening":"ip:port"}` as
 /// the first line of standard output.
 int RunStandIn(const std::string& listen_address, http::Server::Handler handler);
--- /dev/null
+++ b/tests/support/fake_home_pointers.h
@@ -0,0 +1,37 @@
+#ifndef WAGTAILWIND_TESTS_SUPPORT_FAKE_HOME_POINTERS_H_
+#define WAGTAILWIND_TESTS_SUPPORT_FAKE_HOME_POINTERS_H_
+
+#include <map>
+#include <utility>
+
+#include "placement/home_pointers.h"
+
+namespace wagtailwind::testing {
+
+/// \brief Home pointers without bounds, for one thread.
+class FakeHomePointers final : public placement::HomePointers {
+ public:
+  void Set(const OrganisationName& organisation, const ChatId& chat,
+           const EndpointName& endpoint) override {
+    m_pointers[{organisation, chat}] = endpoint;
+  }
+
+  void Clear(const OrganisationName& organisation, const ChatId& chat) override {
+    m_pointers.erase({organisation, chat});
+  }
+
+  std::optional<EndpointName> Find(const OrganisationName& organisation,
+                                   const ChatId& chat) const override {
+    const auto found = m_pointers.find({organisation, chat});
+    return found == m_pointers.end() ? std::nullopt : std::optional(found->second);
+  }
+
+  std::size_t Size() const override { return m_pointers.size(); }
+
+ private:
+  std::map<std::pair<OrganisationName, ChatId>, EndpointName> m_pointers;
+};
+
+}  // namespace wagtailwind::testing
+
+#endif  // WAGTAILWIND_TESTS_SUPPORT_FAKE_HOME_POINTERS_H_
