--- a/src/agent/agent_call.h
+++ b/src/agent/agent_call.h
@@ -2,7 +2,9 @@
 #define WAGTAILWIND_AGENT_AGENT_CALL_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <cstring>
 #include <functional>
 #include <memory>
 #include <string>
@@ -23,10 +25,14 @@
   Incarnation router_incarnation = 0;
 
   friend bool operator==(const AttemptId&, const AttemptId&) = default;
+};
 
-  template <typename H>
-  friend H AbslHashValue(H state, const AttemptId& id) {
-    return H::combine(std::move(state), id.request, id.attempt, id.router_incarnation);
+/// \brief Hash of attempt ids; request ids are random already.
+struct AttemptIdHash {
+  [[nodiscard]] std::size_t operator()(const AttemptId& id) const noexcept {
+    std::size_t hash = 0;
+    std::memcpy(&hash, id.request.data(), sizeof(hash));
+    return hash ^ id.attempt;
   }
 };
 
--- a/src/agent/agent_server.cc
+++ b/src/agent/agent_server.cc
@@ -23,6 +23,7 @@
  public:
   BootstrapService(rpc::schema::AgentService::Client agent, AgentServer::PeerFactory peer)
       : m_agent(kj::mv(agent)), m_peer(std::move(peer)) {}
+  virtual ~BootstrapService() = default;
 
  protected:
   kj::Promise<void> agent(AgentContext context) override {
--- a/src/agent/agent_service.cc
+++ b/src/agent/agent_service.cc
@@ -17,6 +17,7 @@
       : m_execution(std::move(execution)),
         m_deliveries(std::move(deliveries)),
         m_delivery(delivery) {}
+  virtual ~CallHandle() = default;
 
  protected:
   kj::Promise<void> cancel(CancelContext /*context*/) override {
--- a/src/agent/agent_service.h
+++ b/src/agent/agent_service.h
@@ -16,6 +16,8 @@
  public:
   AgentService(rpc::EventLoopThread& loop, ExecutionFlow& flow,
                std::shared_ptr<DeliveryTable> deliveries);
+  // Virtual in place of the generated base's destructor, which is not.
+  virtual ~AgentService() = default;
 
  protected:
   kj::Promise<void> execute(ExecuteContext context) override;
--- a/src/agent/attempt_table.cc
+++ b/src/agent/attempt_table.cc
@@ -19,15 +19,14 @@
   return admission;
 }
 
-bool AttemptTable::Register(const AttemptId& id, AdmissionCallback callback) {
+bool AttemptTable::Register(const AttemptId& id, const AdmissionCallback& callback) {
   std::optional<Decision> decided;
   {
     const absl::MutexLock lock(&m_mutex);
     const auto [found, is_new] = m_entries.try_emplace(id);
-    if (!is_new && found->second.decision) {
-      decided = found->second.decision;
-    } else {
-      found->second.waiting.push_back(std::move(callback));
+    decided = found->second.decision;
+    if (!decided) {
+      found->second.waiting.push_back(callback);
     }
     if (is_new) {
       m_order.push_back(id);
--- a/src/agent/attempt_table.h
+++ b/src/agent/attempt_table.h
@@ -5,9 +5,10 @@
 #include <deque>
 #include <memory>
 #include <optional>
+#include <unordered_map>
 #include <vector>
 
-#include "absl/container/flat_hash_map.h"
+#include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
 #include "agent/agent_call.h"
 
@@ -21,7 +22,7 @@
 
   /// \brief Registers an attempt; true if it is new. The callback is called by Decide(), or at
   /// once if the attempt has been decided.
-  [[nodiscard]] bool Register(const AttemptId& id, AdmissionCallback callback);
+  [[nodiscard]] bool Register(const AttemptId& id, const AdmissionCallback& callback);
 
   /// \brief Sets the decision and passes it to all callbacks of the attempt.
   void Decide(const AttemptId& id, const Admission& admission);
@@ -45,7 +46,7 @@
 
   const std::size_t m_capacity;
   mutable absl::Mutex m_mutex;
-  absl::flat_hash_map<AttemptId, Entry> m_entries ABSL_GUARDED_BY(m_mutex);
+  std::unordered_map<AttemptId, Entry, AttemptIdHash> m_entries ABSL_GUARDED_BY(m_mutex);
   std::deque<AttemptId> m_order ABSL_GUARDED_BY(m_mutex);
 };
 
--- a/src/agent/chat_execution.cc
+++ b/src/agent/chat_execution.cc
@@ -62,7 +62,7 @@
   return std::max(remaining, std::chrono::milliseconds(1));
 }
 
-void ChatExecution::KeepTransfer(std::shared_ptr<endpoint::Transfer> transfer) {
+void ChatExecution::KeepTransfer(const std::shared_ptr<endpoint::Transfer>& transfer) {
   bool aborted = false;
   {
     const absl::MutexLock lock(&m_mutex);
--- a/src/agent/chat_execution.h
+++ b/src/agent/chat_execution.h
@@ -44,7 +44,7 @@
   [[nodiscard]] AnswerEnd EndOfComplete();
   void Stop(requests::FailureReason reason);
   void EndEngineStream();
-  void KeepTransfer(std::shared_ptr<endpoint::Transfer> transfer);
+  void KeepTransfer(const std::shared_ptr<endpoint::Transfer>& transfer);
   [[nodiscard]] bool IsAborted();
   void Finish(AnswerEnd end);
 
--- a/src/agent/delivery_table.cc
+++ b/src/agent/delivery_table.cc
@@ -23,7 +23,7 @@
   AnswerPump& pump = *delivery.pump;
   m_deliveries.emplace(number, std::move(delivery));
   UpdateCount();
-  // A promise must not destroy itself, so that the end is handled by a later function of the loop.
+  // A promise must not destroy itself, so the end is handled by a later function of the loop.
   const auto ended = [this, weak, number] {
     m_loop.Post([weak, number] {
       if (const std::shared_ptr<DeliveryTable> table = weak.lock()) {
@@ -31,12 +31,14 @@
       }
     });
   };
-  m_deliveries.at(number).done = kj::evalLater([&pump] { return pump.Run(); })
-                                     .then(ended)
-                                     .eagerlyEvaluate([ended](const kj::Exception& /*error*/) {
-                                       // The router is gone; it may resume the answer later.
-                                       ended();
-                                     });
+  m_deliveries.at(number).done = kj::evalLater([&pump] {
+                                   return pump.Run();
+                                 }).then([ended] {
+                                     ended();
+                                   }).eagerlyEvaluate([ended](const kj::Exception& /*error*/) {
+    // The router is gone; it may resume the answer later.
+    ended();
+  });
   return number;
 }
 
--- a/src/agent/endpoint_orders.cc
+++ b/src/agent/endpoint_orders.cc
@@ -48,7 +48,7 @@
 }
 
 void EndpointOrders::SetTarget(const ModelName& model, std::string_view version) {
-  m_target[model] = version;
+  m_target[model.value()] = version;
 }
 
 bool EndpointOrders::HoldsFence() {
@@ -76,8 +76,8 @@
     if (!HoldsFence()) {
       return false;
     }
-    if (!m_engine.OrderLoad(model, version, m_fencing_number)) {
-      Log(kOrderRefused, {{"model", model.value()}, {"version", version}});
+    if (!m_engine.OrderLoad(ModelName(model), version, m_fencing_number)) {
+      Log(kOrderRefused, {{"model", model}, {"version", version}});
       applied = false;
     }
   }
--- a/src/agent/endpoint_orders.h
+++ b/src/agent/endpoint_orders.h
@@ -43,7 +43,8 @@
   platform::KeyValueService& m_key_values;
   std::uint64_t m_fencing_number = 0;
   bool m_lost = false;
-  std::map<ModelName, std::string> m_target;
+  /// Versions by model name.
+  std::map<std::string, std::string> m_target;
 };
 
 }  // namespace wagtailwind::agent
--- a/src/agent/execution_flow.cc
+++ b/src/agent/execution_flow.cc
@@ -34,6 +34,14 @@
   return std::find(endpoint.models.begin(), endpoint.models.end(), model) != endpoint.models.end();
 }
 
+std::uint32_t RankOf(const records::Configuration& configuration, const PriorityClassName& name) {
+  const auto& classes = configuration.priority_classes;
+  const auto found = std::find_if(
+      classes.begin(), classes.end(),
+      [&name](const records::PriorityClass& candidate) { return candidate.name == name; });
+  return found == classes.end() ? 0 : found->rank;
+}
+
 /// Why the key of a call that is not repeatable is refused. A key that is out of its time may have
 /// been used before, so that nothing can be said about the call.
 Refusal CheckKey(const std::string& text, const std::optional<requests::RequestKey>& key,
@@ -66,7 +74,7 @@
   return m_core->settings.incarnation;
 }
 
-void ExecutionFlow::Execute(AgentCall call, AdmissionCallback decided) {
+void ExecutionFlow::Execute(AgentCall call, const AdmissionCallback& decided) {
   const AttemptId id = call.id;
   if (call.agent_incarnation != m_core->settings.incarnation) {
     // Not entered in the table: it holds this incarnation's attempts only.
@@ -76,7 +84,7 @@
     decided(admission);
     return;
   }
-  if (!m_core->attempts.Register(id, std::move(decided))) {
+  if (!m_core->attempts.Register(id, decided)) {
     Log(kDuplicateAttempt, {{"request", ToHex(id.request)}, {"attempt", id.attempt}});
     m_core->parts.metrics.GetCounter("agent_duplicate_attempts_total").Add();
     return;
@@ -230,15 +238,13 @@
   if (!chat.chat.empty()) {
     m_core->parts.homes.Clear(call.organisation, chat.chat);
   }
-  const records::PriorityClass* priority_class = nullptr;
-  const auto configuration = m_core->parts.configuration.Current();
-  priority_class = configuration->FindPriorityClass(call.priority_class.value());
+  const std::uint32_t rank = RankOf(*m_core->parts.configuration.Current(), call.priority_class);
   const AttemptId id = call.id;
   const auto execution = std::make_shared<ChatExecution>(m_core, std::move(call), answer);
   Admission admission;
   admission.answer = answer;
   admission.execution = execution;
-  execution->Start(decision.reservation, priority_class == nullptr ? 0 : priority_class->rank);
+  execution->Start(decision.reservation, rank);
   Decide(id, admission);
 }
 
@@ -269,7 +275,7 @@
       std::make_shared<ServiceExecution>(m_core, std::move(call), std::move(key), answer);
   {
     const absl::MutexLock lock(&m_mutex);
-    absl::erase_if(m_undecided, [](const auto& entry) { return entry.second.expired(); });
+    std::erase_if(m_undecided, [](const auto& entry) { return entry.second.expired(); });
     m_undecided[id] = execution;
   }
   execution->Start(decision.reservation);
--- a/src/agent/execution_flow.h
+++ b/src/agent/execution_flow.h
@@ -5,10 +5,12 @@
 #include <chrono>
 #include <cstddef>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 
-#include "absl/container/flat_hash_set.h"
+#include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
 #include "agent/agent_call.h"
 #include "agent/flow_core.h"
@@ -29,7 +31,7 @@
 
   /// \brief Runs one attempt. `decided` is called once, from any thread, possibly before the
   /// return. A repeated message of an attempt gets the same decision and runs nothing.
-  void Execute(AgentCall call, AdmissionCallback decided);
+  void Execute(AgentCall call, const AdmissionCallback& decided);
 
   /// \brief The caller gave up before the decision arrived.
   void CancelUndecided(const AttemptId& id);
@@ -80,8 +82,9 @@
   const std::shared_ptr<FlowCore> m_core;
   std::atomic<bool> m_stopping{false};
   mutable absl::Mutex m_mutex;
-  absl::flat_hash_set<RequestId> m_redirected ABSL_GUARDED_BY(m_mutex);
-  absl::flat_hash_map<AttemptId, std::weak_ptr<Execution>> m_undecided ABSL_GUARDED_BY(m_mutex);
+  std::set<RequestId> m_redirected ABSL_GUARDED_BY(m_mutex);
+  std::unordered_map<AttemptId, std::weak_ptr<Execution>, AttemptIdHash> m_undecided
+      ABSL_GUARDED_BY(m_mutex);
 };
 
 }  // namespace wagtailwind::agent
--- a/src/agent/prefix_estimates.h
+++ b/src/agent/prefix_estimates.h
@@ -4,10 +4,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <list>
-#include <utility>
+#include <unordered_map>
 
 #include "absl/base/thread_annotations.h"
-#include "absl/container/flat_hash_map.h"
 #include "absl/synchronization/mutex.h"
 #include "core/ids.h"
 
@@ -38,7 +37,7 @@
   const std::size_t m_capacity;
   mutable absl::Mutex m_mutex;
   std::list<Estimate> m_recent ABSL_GUARDED_BY(m_mutex);
-  absl::flat_hash_map<std::uint64_t, std::list<Estimate>::iterator> m_by_chat
+  std::unordered_map<std::uint64_t, std::list<Estimate>::iterator> m_by_chat
       ABSL_GUARDED_BY(m_mutex);
 };
 
--- a/src/agent/result_table.cc
+++ b/src/agent/result_table.cc
@@ -2,16 +2,26 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace wagtailwind::agent {
 
+namespace {
+
+std::string TableKey(const OrganisationName& organisation, const std::string& key) {
+  // A name of a record contains no line break.
+  return organisation.value() + "\n" + key;
+}
+
+}  // namespace
+
 ResultTable::Lookup ResultTable::FindOrEnter(const OrganisationName& organisation,
                                              const std::string& key, std::uint64_t call_hash,
                                              bool may_run_again,
                                              const std::shared_ptr<StoredAnswer>& answer) {
   const absl::MutexLock lock(&m_mutex);
-  const auto [found, is_new] = m_results.try_emplace(Key(organisation, key));
+  const auto [found, is_new] = m_results.try_emplace(TableKey(organisation, key));
   Result& result = found->second;
   if (!is_new) {
     const std::optional<AnswerEnd> end = result.answer->End();
@@ -35,7 +45,7 @@
   const SteadyTime now = m_clock.Now();
   const absl::MutexLock lock(&m_mutex);
   std::size_t total = 0;
-  std::vector<std::pair<SteadyTime, Key>> ended;
+  std::vector<std::pair<SteadyTime, std::string>> ended;
   for (const auto& [key, result] : m_results) {
     total += result.answer->Size();
     if (const std::optional<SteadyTime> ended_at = result.answer->EndedAt()) {
--- a/src/agent/result_table.h
+++ b/src/agent/result_table.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <memory>
 #include <string>
-#include <utility>
 
 #include "absl/synchronization/mutex.h"
 #include "agent/stored_answer.h"
@@ -52,7 +51,6 @@
   [[nodiscard]] std::size_t Count() const;
 
  private:
-  using Key = std::pair<OrganisationName, std::string>;
   struct Result {
     std::uint64_t call_hash = 0;
     std::shared_ptr<StoredAnswer> answer;
@@ -61,7 +59,8 @@
   const ResultLimits m_limits;
   const Clock& m_clock;
   mutable absl::Mutex m_mutex;
-  std::map<Key, Result> m_results ABSL_GUARDED_BY(m_mutex);
+  /// By organisation and request key.
+  std::map<std::string, Result> m_results ABSL_GUARDED_BY(m_mutex);
 };
 
 }  // namespace wagtailwind::agent
--- a/tests/support/fake_home_pointers.h
+++ b/tests/support/fake_home_pointers.h
@@ -2,6 +2,7 @@
 #define WAGTAILWIND_TESTS_SUPPORT_FAKE_HOME_POINTERS_H_
 
 #include <map>
+#include <string>
 #include <utility>
 
 #include "placement/home_pointers.h"
@@ -13,23 +14,23 @@
  public:
   void Set(const OrganisationName& organisation, const ChatId& chat,
            const EndpointName& endpoint) override {
-    m_pointers[{organisation, chat}] = endpoint;
+    m_pointers[{organisation.value(), chat.value()}] = endpoint;
   }
 
   void Clear(const OrganisationName& organisation, const ChatId& chat) override {
-    m_pointers.erase({organisation, chat});
+    m_pointers.erase({organisation.value(), chat.value()});
   }
 
   std::optional<EndpointName> Find(const OrganisationName& organisation,
                                    const ChatId& chat) const override {
-    const auto found = m_pointers.find({organisation, chat});
+    const auto found = m_pointers.find({organisation.value(), chat.value()});
     return found == m_pointers.end() ? std::nullopt : std::optional(found->second);
   }
 
   std::size_t Size() const override { return m_pointers.size(); }
 
  private:
-  std::map<std::pair<OrganisationName, ChatId>, EndpointName> m_pointers;
+  std::map<std::pair<std::string, std::string>, EndpointName> m_pointers;
 };
 
 }  // namespace wagtailwind::testing
--- /dev/null
+++ b/tests/unit/endpoint_transfer_test.cc
@@ -0,0 +1,155 @@
+#include <criterion/criterion.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "endpoint/http_plain_service.h"
+#include "http/server.h"
+#include "http/socket_address.h"
+#include "support/stand_in_process.h"
+
+namespace {
+
+using wagtailwind::endpoint::HttpPlainService;
+using wagtailwind::endpoint::ServiceAnswer;
+using wagtailwind::endpoint::ServiceCall;
+using wagtailwind::endpoint::TransferEnd;
+using wagtailwind::endpoint::TransferLoop;
+using wagtailwind::http::HandlerResult;
+using wagtailwind::http::Request;
+using wagtailwind::http::Server;
+using wagtailwind::testing::StandInProcess;
+
+ServiceCall Call(const std::string& method, const std::string& path, bool repeatable) {
+  ServiceCall call;
+  call.method = method;
+  call.path = path;
+  call.repeatable = repeatable;
+  return call;
+}
+
+ServiceAnswer Send(const std::string& address, ServiceCall call) {
+  TransferLoop loop;
+  std::promise<ServiceAnswer> answer;
+  HttpPlainService(address, loop, 1000).Send(std::move(call), [&answer](ServiceAnswer received) {
+    answer.set_value(std::move(received));
+  });
+  return answer.get_future().get();
+}
+
+/// Accepts one connection, reads something, writes `answer` and closes.
+class RawServer {
+ public:
+  explicit RawServer(std::string answer) : m_socket(socket(AF_INET, SOCK_STREAM, 0)) {
+    const auto any = wagtailwind::http::ParseSocketAddress("127.0.0.1:0");
+    bind(m_socket, any.Get(), any.Size());
+    listen(m_socket, 1);
+    sockaddr_storage bound{};
+    socklen_t size = sizeof(bound);
+    getsockname(m_socket, reinterpret_cast<sockaddr*>(&bound), &size);
+    m_address = wagtailwind::http::SocketAddress(bound, size).Text();
+    m_thread = std::thread([this, text = std::move(answer)] {
+      const int connection = accept(m_socket, nullptr, nullptr);
+      char buffer[4096];
+      [[maybe_unused]] const ssize_t got = recv(connection, buffer, sizeof(buffer), 0);
+      [[maybe_unused]] const ssize_t sent =
+          send(connection, text.data(), text.size(), MSG_NOSIGNAL);
+      close(connection);
+    });
+  }
+  ~RawServer() {
+    m_thread.join();
+    close(m_socket);
+  }
+  RawServer(const RawServer&) = delete;
+  RawServer& operator=(const RawServer&) = delete;
+
+  [[nodiscard]] const std::string& Address() const { return m_address; }
+
+ private:
+  int m_socket;
+  std::string m_address;
+  std::thread m_thread;
+};
+
+}  // namespace
+
+// Guards against a second execution by libcurl, which repeats a request when a connection that was
+// used before closes without an answer.
+Test(endpoint_transfer, a_cut_call_is_executed_once_also_after_a_kept_connection) {
+  StandInProcess service("service_stand_in");
+  TransferLoop loop;
+  HttpPlainService plain(service.Address(), loop);
+  const auto send = [&plain](ServiceCall call) {
+    std::promise<ServiceAnswer> answer;
+    plain.Send(std::move(call),
+               [&answer](ServiceAnswer received) { answer.set_value(std::move(received)); });
+    return answer.get_future().get();
+  };
+  cr_assert(send(Call("GET", "/status/1", true)).end == TransferEnd::kComplete);
+  service.Control(R"({"cut_next":1})");
+  ServiceCall pickup = Call("POST", "/pickups", false);
+  pickup.headers = {{"Wagtailwind-Request-Key", "key-1"}};
+  cr_assert(send(pickup).end == TransferEnd::kConnectionLost);
+  const auto history = service.History();
+  cr_assert_eq(history.size(), 2);
+  cr_assert_neq(history[1].find("\"key\":\"key-1\""), std::string::npos);
+}
+
+// Guards against "not sent" for a call that may have reached the endpoint, and the reverse.
+Test(endpoint_transfer, only_calls_without_a_connection_are_not_sent) {
+  std::string closed_address;
+  {
+    const Server server("127.0.0.1:0", [](const Request&) { return HandlerResult{}; });
+    closed_address = server.Address();
+  }
+  cr_assert(Send(closed_address, Call("POST", "/pickups", false)).end == TransferEnd::kNotSent);
+  std::promise<void> release;
+  const std::shared_future<void> released = release.get_future().share();
+  const Server silent("127.0.0.1:0", [released](const Request&) {
+    released.wait();
+    return HandlerResult{};
+  });
+  ServiceCall call = Call("POST", "/pickups", false);
+  call.timeout = std::chrono::milliseconds(50);
+  const TransferEnd end = Send(silent.Address(), call).end;
+  release.set_value();
+  cr_assert(end == TransferEnd::kDeadlineExceeded);
+}
+
+// Guards against an answer that passes for whole though it is malformed, cut off or over the limit.
+Test(endpoint_transfer, malformed_and_oversized_answers_are_typed_failures) {
+  const auto end_of = [](const std::string& answer) {
+    const RawServer server(answer);
+    return Send(server.Address(), Call("POST", "/pickups", false)).end;
+  };
+  cr_assert(end_of("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc") == TransferEnd::kComplete);
+  cr_assert(end_of("no protocol at all\r\n\r\n") == TransferEnd::kMalformedAnswer);
+  cr_assert(end_of("HTTP/1.1 200 OK\r\n\r\nabc") == TransferEnd::kMalformedAnswer);
+  cr_assert(end_of("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc") ==
+            TransferEnd::kConnectionLost);
+  cr_assert(end_of("HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + std::string(2000, 'a')) ==
+            TransferEnd::kAnswerTooLarge);
+  cr_assert(end_of("") == TransferEnd::kConnectionLost);
+}
+
+// Guards against a header or path that smuggles a second request into the connection.
+Test(endpoint_transfer, calls_that_would_break_the_protocol_are_not_sent) {
+  std::atomic<int> received{0};
+  const Server server("127.0.0.1:0", [&received](const Request&) {
+    ++received;
+    return HandlerResult{};
+  });
+  ServiceCall call = Call("POST", "/pickups", false);
+  call.headers = {{"A", "b\r\n\r\nPOST /deposits HTTP/1.1"}};
+  cr_assert(Send(server.Address(), call).end == TransferEnd::kNotSent);
+  cr_assert(Send(server.Address(), Call("GET", "/a HTTP/1.1\r\nB: c", true)).end ==
+            TransferEnd::kNotSent);
+  cr_assert(Send(server.Address(), Call("GET /x", "/a", true)).end == TransferEnd::kNotSent);
+  cr_assert_eq(received.load(), 0);
+}
