--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -85,8 +85,28 @@
 
 Client::~Client() = default;
 
+struct Client::Call {
+  const std::string& method;
+  const std::string& target;
+  const std::string& body;
+  std::chrono::milliseconds timeout;
+  const std::vector<Header>& headers;
+  bool own_connection = false;
+};
+
 Response Client::Send(const std::string& method, const std::string& target, const std::string& body,
                       std::chrono::milliseconds timeout, const std::vector<Header>& headers) {
+  return Perform({method, target, body, timeout, headers, false});
+}
+
+Response Client::SendOnce(const std::string& method, const std::string& target,
+                          const std::string& body, std::chrono::milliseconds timeout,
+                          const std::vector<Header>& headers) {
+  return Perform({method, target, body, timeout, headers, true});
+}
+
+Response Client::Perform(const Call& call) {
+  const auto& [method, target, body, timeout, headers, own_connection] = call;
   CURL* easy = m_pool->Take();
   Response response;
   const HeaderList header_list(headers);
@@ -101,6 +121,10 @@
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, &response.body);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &AppendHeader);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, &response.headers);
+  if (own_connection) {
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+  }
   if (!body.empty() || method == "POST" || method == "PUT") {
     curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(body.size()));
     curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body.c_str());
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -39,7 +39,16 @@
                               const std::string& body, std::chrono::milliseconds timeout,
                               const std::vector<Header>& headers = {});
 
+  /// \brief Sends a request on a connection of its own, so that it goes out at most once: libcurl
+  /// repeats a request on its own when a kept connection turns out to be closed.
+  [[nodiscard]] Response SendOnce(const std::string& method, const std::string& target,
+                                  const std::string& body, std::chrono::milliseconds timeout,
+                                  const std::vector<Header>& headers = {});
+
  private:
+  struct Call;
+  [[nodiscard]] Response Perform(const Call& call);
+
   struct Pool;
   std::string m_address;
   std::unique_ptr<Pool> m_pool;
--- a/src/platform/key_value_service.h
+++ b/src/platform/key_value_service.h
@@ -66,7 +66,7 @@
   [[nodiscard]] virtual std::optional<VersionedValue> Get(std::string_view key) = 0;
 
   /// \brief Writes a key if its revision is `expected` (0: absent). With a lease, the key is
-  /// deleted when the lease ends. May throw KeyValueOutcomeUnknown.
+  /// deleted when the lease ends. May throw KeyValueOutcomeUnknown, or LeaseExpired.
   [[nodiscard]] virtual SwapResult CompareAndSwap(std::string_view key, Revision expected,
                                                   std::string_view value, LeaseId lease = 0) = 0;
 
@@ -77,10 +77,10 @@
   /// \brief Grants a lease. May throw KeyValueOutcomeUnknown.
   [[nodiscard]] virtual LeaseId GrantLease(std::chrono::milliseconds time_to_live) = 0;
 
-  /// \brief Renews a lease; throws LeaseExpired if it has ended.
+  /// \brief Renews a lease; throws LeaseExpired if it has ended. May throw KeyValueOutcomeUnknown.
   virtual void KeepAlive(LeaseId lease) = 0;
 
-  /// \brief Ends a lease and deletes its keys.
+  /// \brief Ends a lease and deletes its keys. May throw KeyValueOutcomeUnknown.
   virtual void Revoke(LeaseId lease) = 0;
 };
 
