Add the placement decisions: candidate order, admission gate, home pointers

The gate admits up to a multiple of the mean of fresh load entries, weighted by capacity, with class shares, a reserve for the lowest class and organisation shares. AttemptPlan, DecidePrefixReuse and PrefixDirectory are the parts that router and agent need besides.

Counting only live reservations was ruled out: a surging organisation that is alone at the moment would have the whole bound. - The reserve of the lowest class earns credit, since 5% of a bound of a few requests is less than one request. - Redirects are drawn from the peers below the mean, by room and by chat. Naming the least loaded peers was ruled out: all agents would name the same ones. - Half of the candidates without a chat come from other zones.

--- /dev/null
+++ b/src/placement/admission_gate.cc
@@ -0,0 +1,266 @@
+#include "placement/admission_gate.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "placement/chat_key.h"
+#include "placement/class_reserve.h"
+#include "placement/organisation_shares.h"
+#include "placement/pool_load.h"
+#include "placement/work_ledger.h"
+
+namespace wagtailwind::placement {
+
+namespace {
+
+using requests::FailureReason;
+
+// The mean of fewer agents says little: one idle peer would halve the bound of a pool of two.
+constexpr std::size_t kMinFreshEntries = 3;
+
+constexpr std::size_t kMaxRedirects = 4;
+
+// Work drains at the pace of seconds; an earlier return would find the same load.
+constexpr std::chrono::milliseconds kRetryAfter{1'000};
+
+WorkItem MakeItem(const AdmissionRequest& request, std::uint32_t output_weight) {
+  WorkItem item;
+  item.organisation = request.organisation;
+  item.priority_class = request.priority_class;
+  item.prompt_work = request.prompt_tokens - std::min(request.cached_tokens, request.prompt_tokens);
+  item.output_work = std::uint64_t{request.max_output_tokens} * output_weight;
+  if (item.prompt_work + item.output_work == 0) {
+    // Every request counts, which bounds the number of reservations by the capacity.
+    item.prompt_work = 1;
+  }
+  return item;
+}
+
+// The rank of the class that the reserve is kept for, if there are at least two classes.
+const records::PriorityClass* LowestClass(const records::Configuration& configuration) {
+  const auto& classes = configuration.priority_classes;
+  if (classes.size() < 2) {
+    return nullptr;
+  }
+  return &*std::max_element(classes.begin(), classes.end(),
+                            [](const auto& a, const auto& b) { return a.rank < b.rank; });
+}
+
+AdmissionDecision Refused(FailureReason reason) {
+  AdmissionDecision decision;
+  decision.reason = reason;
+  return decision;
+}
+
+AdmissionDecision Admitted(std::uint64_t reservation) {
+  AdmissionDecision decision;
+  decision.admitted = true;
+  decision.reservation = reservation;
+  return decision;
+}
+
+// What a request may fill.
+struct Bound {
+  double work_tokens = 0;
+  /// Whether the pool as a whole is so loaded that shares have to be enforced.
+  bool pool_is_busy = false;
+};
+
+class BoundedGate final : public AdmissionGate {
+ public:
+  BoundedGate(const gossip::EndpointAdvertisement& endpoint, AvailabilityZoneName zone,
+              const AdmissionSettings& settings, const gossip::LoadView& loads,
+              const records::ConfigurationView& configuration, const Clock& clock)
+      : m_endpoint(endpoint),
+        m_zone(std::move(zone)),
+        m_settings(settings),
+        m_loads(loads),
+        m_configuration(configuration),
+        m_clock(clock),
+        m_reserve(settings.lowest_class_reserve) {}
+
+  [[nodiscard]] AdmissionDecision Admit(const AdmissionRequest& request) override {
+    // The views have locks of their own and are read before the gate's lock is taken.
+    const auto configuration = m_configuration.Current();
+    const SteadyTime now = m_clock.Now();
+    const PoolLoad pool = FreshPeers(m_loads.PoolLoad(m_endpoint.pool), m_endpoint.endpoint,
+                                     m_settings.max_load_age, now);
+    const bool draining = configuration->IsDraining(m_endpoint.endpoint, m_zone, m_clock.WallNow());
+    AdmissionDecision decision;
+    {
+      const absl::MutexLock lock(&m_mutex);
+      decision = Decide(request, pool, *configuration, draining, now);
+    }
+    if (!decision.admitted) {
+      decision.retry_after = kRetryAfter;
+      decision.redirects = Redirects(request, pool, *configuration);
+    }
+    return decision;
+  }
+
+  void Progress(std::uint64_t reservation, std::uint32_t output_tokens) override {
+    const absl::MutexLock lock(&m_mutex);
+    m_ledger.Progress(reservation, std::uint64_t{output_tokens} * m_settings.output_token_weight);
+  }
+
+  void Release(std::uint64_t reservation) override {
+    const absl::MutexLock lock(&m_mutex);
+    m_ledger.Remove(reservation);
+  }
+
+  [[nodiscard]] GateLoad Load() const override {
+    const absl::MutexLock lock(&m_mutex);
+    return {.work_tokens = m_ledger.Total(),
+            .capacity = m_endpoint.capacity,
+            .requests = static_cast<std::uint32_t>(m_ledger.Count())};
+  }
+
+  void Close() override {
+    const absl::MutexLock lock(&m_mutex);
+    m_closed = true;
+  }
+
+  void SetHealthy(bool healthy) override {
+    const absl::MutexLock lock(&m_mutex);
+    m_healthy = healthy;
+  }
+
+ private:
+  AdmissionDecision Decide(const AdmissionRequest& request, const PoolLoad& pool,
+                           const records::Configuration& configuration, bool draining,
+                           SteadyTime now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
+    if (m_closed || draining) {
+      return Refused(FailureReason::kDraining);
+    }
+    if (!m_healthy) {
+      return Refused(FailureReason::kEndpointUnhealthy);
+    }
+    const WorkItem item = MakeItem(request, m_settings.output_token_weight);
+    const std::uint64_t cost = item.prompt_work + item.output_work;
+    m_shares.Observe(request.organisation, now);
+    const Bound bound = BoundFor(request, pool, cost);
+    const records::PriorityClass* lowest = LowestClass(configuration);
+    const bool is_lowest = lowest != nullptr && lowest->name == request.priority_class;
+    const FailureReason reason = Check(request, cost, bound, configuration, lowest, now);
+    if (reason != FailureReason::kNone) {
+      if (is_lowest) {
+        m_reserve.RefusedLowest(cost, now);
+      }
+      return Refused(reason);
+    }
+    if (is_lowest) {
+      m_reserve.AdmittedLowest(cost);
+    } else {
+      m_reserve.AdmittedOther(cost, bound.work_tokens);
+    }
+    return Admitted(m_ledger.Add(item));
+  }
+
+  Bound BoundFor(const AdmissionRequest& request, const PoolLoad& pool, std::uint64_t cost) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
+    const double capacity = m_endpoint.capacity;
+    if (request.last_resort || pool.peers.size() + 1 < kMinFreshEntries) {
+      return {.work_tokens = capacity, .pool_is_busy = true};
+    }
+    // The mean counts the request itself: with a few agents, its cost is a part of the mean that
+    // can't be left out.
+    const double work = static_cast<double>(pool.work_tokens + m_ledger.Total() + cost);
+    const double mean = work / (static_cast<double>(pool.capacity) + capacity) * capacity;
+    const double bound = std::min(m_settings.load_multiple * mean, capacity);
+    return {.work_tokens = bound, .pool_is_busy = bound >= m_settings.share_threshold * capacity};
+  }
+
+  FailureReason Check(const AdmissionRequest& request, std::uint64_t cost, const Bound& bound,
+                      const records::Configuration& configuration,
+                      const records::PriorityClass* lowest, SteadyTime now)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
+    const std::uint64_t load = m_ledger.Total();
+    if (load == 0) {
+      // One request: an idle endpoint takes any request, however large.
+      return FailureReason::kNone;
+    }
+    if (bound.pool_is_busy && IsOverOrganisationShare(request, cost, bound, configuration, now)) {
+      return FailureReason::kOrganisationOverShare;
+    }
+    const double limit = ClassLimit(request, cost, bound, configuration, lowest, now);
+    if (static_cast<double>(load + cost) <= limit) {
+      return FailureReason::kNone;
+    }
+    return request.last_resort ? FailureReason::kFleetFull : FailureReason::kOverBound;
+  }
+
+  bool IsOverOrganisationShare(const AdmissionRequest& request, std::uint64_t cost,
+                               const Bound& bound, const records::Configuration& configuration,
+                               SteadyTime now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
+    const std::uint64_t own = m_ledger.OfOrganisation(request.organisation);
+    const auto load = static_cast<double>(m_ledger.Total() + cost);
+    if (own == 0 || load <= m_settings.share_threshold * bound.work_tokens) {
+      return false;
+    }
+    const double share = m_shares.ShareOf(request.organisation, configuration, now);
+    // Alone, an organisation is limited by the bound, which says so.
+    return share < 1.0 && static_cast<double>(own + cost) > share * bound.work_tokens;
+  }
+
+  double ClassLimit(const AdmissionRequest& request, std::uint64_t cost, const Bound& bound,
+                    const records::Configuration& configuration,
+                    const records::PriorityClass* lowest, SteadyTime now) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
+    const records::PriorityClass* own =
+        configuration.FindPriorityClass(request.priority_class.value());
+    // While the pool has room, a class that has to stay below the bound would only be driven away
+    // from its prefixes.
+    const double share = own == nullptr || !bound.pool_is_busy ? 1.0 : own->share;
+    const double limit = share * bound.work_tokens;
+    if (lowest == nullptr || !bound.pool_is_busy) {
+      return limit;
+    }
+    const std::uint64_t lowest_load = m_ledger.OfClass(lowest->name);
+    if (lowest == own) {
+      return m_reserve.IsDue(cost, bound.work_tokens, lowest_load) ? bound.work_tokens : limit;
+    }
+    return std::min(
+        limit, bound.work_tokens - m_reserve.HeldFromOthers(bound.work_tokens, lowest_load, now));
+  }
+
+  std::vector<EndpointName> Redirects(const AdmissionRequest& request, const PoolLoad& pool,
+                                      const records::Configuration& configuration) const {
+    // Load entries don't name a zone; a peer of a draining zone refuses by itself.
+    const AvailabilityZoneName unknown_zone("(unknown)");
+    const WallTime now = m_clock.WallNow();
+    const std::uint64_t key = ChatHash(request.organisation, request.chat) +
+                              static_cast<std::uint64_t>(m_clock.Now().time_since_epoch().count());
+    return RedirectPeers(pool, key, kMaxRedirects, [&](const EndpointName& endpoint) {
+      return !configuration.IsDraining(endpoint, unknown_zone, now);
+    });
+  }
+
+  const gossip::EndpointAdvertisement m_endpoint;
+  const AvailabilityZoneName m_zone;
+  const AdmissionSettings m_settings;
+  const gossip::LoadView& m_loads;
+  const records::ConfigurationView& m_configuration;
+  const Clock& m_clock;
+  mutable absl::Mutex m_mutex;
+  WorkLedger m_ledger ABSL_GUARDED_BY(m_mutex);
+  OrganisationShares m_shares ABSL_GUARDED_BY(m_mutex);
+  ClassReserve m_reserve ABSL_GUARDED_BY(m_mutex);
+  bool m_closed ABSL_GUARDED_BY(m_mutex) = false;
+  bool m_healthy ABSL_GUARDED_BY(m_mutex) = true;
+};
+
+}  // namespace
+
+std::unique_ptr<AdmissionGate> MakeAdmissionGate(const gossip::EndpointAdvertisement& endpoint,
+                                                 const AvailabilityZoneName& zone,
+                                                 const AdmissionSettings& settings,
+                                                 const gossip::LoadView& loads,
+                                                 const records::ConfigurationView& configuration,
+                                                 const Clock& clock) {
+  return std::make_unique<BoundedGate>(endpoint, zone, settings, loads, configuration, clock);
+}
+
+}  // namespace wagtailwind::placement
--- /dev/null
+++ b/src/placement/attempt_plan.h
@@ -0,0 +1,63 @@
+#ifndef WAGTAILWIND_PLACEMENT_ATTEMPT_PLAN_H_
+#define WAGTAILWIND_PLACEMENT_ATTEMPT_PLAN_H_
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+#include "core/ids.h"
+#include "placement/admission_gate.h"
+
+namespace wagtailwind::placement {
+
+/// \brief Limits of the candidates that are asked for one request.
+struct AttemptLimits {
+  /// Refusals after which no further agent is asked, apart from the last resort.
+  std::size_t max_candidates = 8;
+  /// Refusals after which redirects go before the remaining candidates.
+  std::size_t redirects_after = 1;
+};
+
+/// \brief One agent to ask.
+struct PlannedAttempt {
+  EndpointName endpoint;
+  bool last_resort = false;
+};
+
+/// \brief Which agents a router asks for one request, given the refusals so far. Never names an
+/// agent twice, except for the last resort. Used by one request at a time.
+class AttemptPlan {
+ public:
+  AttemptPlan(std::vector<EndpointName> candidates, AttemptLimits limits);
+
+  /// \brief The agent to ask next; empty if the request has to be refused.
+  [[nodiscard]] std::optional<PlannedAttempt> Next();
+
+  /// \brief Takes the refusal of the agent that was named last.
+  void OnRefusal(const AdmissionDecision& decision);
+
+  [[nodiscard]] std::size_t Asked() const noexcept { return m_asked.size(); }
+
+  /// \brief What to tell the caller when Next() is empty.
+  [[nodiscard]] requests::FailureReason FinalReason() const noexcept;
+
+ private:
+  [[nodiscard]] bool WasAsked(const EndpointName& endpoint) const;
+  std::optional<EndpointName> TakeFrom(std::vector<EndpointName>& queue);
+  std::optional<PlannedAttempt> LastResort();
+
+  AttemptLimits m_limits;
+  /// Both are in reverse order: the next one is the last.
+  std::vector<EndpointName> m_candidates;
+  std::vector<EndpointName> m_redirects;
+  std::vector<EndpointName> m_asked;
+  std::optional<EndpointName> m_least_loaded;
+  /// The first agent that refused for its bound alone.
+  std::optional<EndpointName> m_over_bound;
+  bool m_tried_last_resort = false;
+  requests::FailureReason m_reason = requests::FailureReason::kNoEndpoint;
+};
+
+}  // namespace wagtailwind::placement
+
+#endif  // WAGTAILWIND_PLACEMENT_ATTEMPT_PLAN_H_
