Share one RPC bootstrap listener, and give each execution its own claim id

Cause: the claim of a call used the router's request id. After an attempt that did not reach its service, a second attempt at another agent found the claim of the first one and took it for its own, and the release of the first claim then freed the key of a call that had run. Ruled out: comparing attempt numbers as well, which a restarted router could repeat. Each execution now has random id.

The agent refuses work until it has records, since it could not see a drain plan before.

--- a/src/agent/agent_server.h
+++ b/src/agent/agent_server.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "agent/execution_flow.h"
+#include "rpc/bootstrap_listener.h"
 #include "rpc/event_loop_thread.h"
 #include "rpc/wagtailwind.capnp.h"
 
@@ -31,7 +32,7 @@
   AgentServer& operator=(const AgentServer&) = delete;
 
   /// \brief The address with the port that was bound.
-  [[nodiscard]] const std::string& Address() const noexcept { return m_address; }
+  [[nodiscard]] const std::string& Address() const noexcept { return m_listener->Address(); }
 
   /// \brief Stops gracefully: refuses new attempts, and waits until all answers have been
   /// delivered. After `timeout` the rest gets `shutdown_timeout`; then the result is false.
@@ -45,7 +46,7 @@
   rpc::EventLoopThread& m_loop;
   ExecutionFlow& m_flow;
   std::shared_ptr<State> m_state;
-  std::string m_address;
+  std::unique_ptr<rpc::BootstrapListener> m_listener;
 };
 
 }  // namespace wagtailwind::agent
--- a/src/agent/execution_flow.cc
+++ b/src/agent/execution_flow.cc
@@ -105,6 +105,10 @@
   if (m_stopping) {
     return FailureReason::kDraining;
   }
+  if (m_core->parts.configuration.Current()->version == 0) {
+    // Without records, a drain plan for this endpoint would not be seen.
+    return FailureReason::kNotReady;
+  }
   if (call.deadline <= std::chrono::milliseconds(0)) {
     return FailureReason::kDeadlineExceeded;
   }
--- a/src/agent/service_execution.cc
+++ b/src/agent/service_execution.cc
@@ -27,7 +27,8 @@
       m_call(std::move(call)),
       m_key(std::move(key)),
       m_answer(std::move(answer)),
-      m_deadline(m_core->parts.clock.Now() + m_call.deadline) {}
+      m_deadline(m_core->parts.clock.Now() + m_call.deadline),
+      m_claim_id(m_core->parts.random.NewRequestId()) {}
 
 void ServiceExecution::Start(std::uint64_t reservation) {
   m_number = m_core->Add(shared_from_this(), reservation);
@@ -36,7 +37,7 @@
     return;
   }
   m_core->parts.claims->Claim(
-      m_call.organisation, *m_key, m_call.id.request,
+      m_call.organisation, *m_key, m_claim_id,
       [self = shared_from_this()](requests::ClaimResult result) { self->OnClaim(result); });
 }
 
@@ -75,7 +76,7 @@
 void ServiceExecution::AbandonClaim() {
   if (m_key) {
     Log(kClaimAbandoned, {{"request", ToHex(m_call.id.request)}});
-    m_core->parts.claims->Abandon(m_call.organisation, *m_key, m_call.id.request);
+    m_core->parts.claims->Abandon(m_call.organisation, *m_key, m_claim_id);
   }
 }
 
--- a/src/agent/service_execution.h
+++ b/src/agent/service_execution.h
@@ -50,6 +50,9 @@
   const std::optional<requests::RequestKey> m_key;
   const std::shared_ptr<StoredAnswer> m_answer;
   const SteadyTime m_deadline;
+  /// Identifies this execution in the claim log. Not the request id: two attempts of one request at
+  /// two agents must not take each other\'s claim for their own.
+  const RequestId m_claim_id;
   std::uint64_t m_number = 0;
   absl::Mutex m_mutex;
   Phase m_phase ABSL_GUARDED_BY(m_mutex) = Phase::kClaiming;
--- a/src/requests/claim_partition.cc
+++ b/src/requests/claim_partition.cc
@@ -118,7 +118,7 @@
       }
       continue;
     }
-    if (is_own) {
+    if (is_own && !found->second.abandoned) {
       // A write whose answer was lost, or that came after a failed one, had taken effect.
       results[i] = ClaimResult::kClaimed;
       continue;
