Keep undecided attempts in the attempt table, and make the fakes lint-clean

Cause: an eviction of an attempt whose decision is pending would leave its router without an answer.

--- a/src/agent/attempt_table.cc
+++ b/src/agent/attempt_table.cc
@@ -30,10 +30,7 @@
     }
     if (is_new) {
       m_order.push_back(id);
-      if (m_order.size() > m_capacity) {
-        m_entries.erase(m_order.front());
-        m_order.pop_front();
-      }
+      EvictOldest();
       return true;
     }
   }
@@ -43,6 +40,21 @@
   return false;
 }
 
+void AttemptTable::EvictOldest() {
+  if (m_order.size() <= m_capacity) {
+    return;
+  }
+  const AttemptId oldest = m_order.front();
+  m_order.pop_front();
+  const auto found = m_entries.find(oldest);
+  if (found->second.decision) {
+    m_entries.erase(found);
+  } else {
+    // Routers still wait for this decision.
+    m_order.push_back(oldest);
+  }
+}
+
 void AttemptTable::Decide(const AttemptId& id, const Admission& admission) {
   std::vector<AdmissionCallback> waiting;
   {
--- a/src/agent/attempt_table.h
+++ b/src/agent/attempt_table.h
@@ -44,6 +44,8 @@
     std::vector<AdmissionCallback> waiting;
   };
 
+  void EvictOldest() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+
   const std::size_t m_capacity;
   mutable absl::Mutex m_mutex;
   std::unordered_map<AttemptId, Entry, AttemptIdHash> m_entries ABSL_GUARDED_BY(m_mutex);
--- a/tests/support/fake_configuration_view.h
+++ b/tests/support/fake_configuration_view.h
@@ -13,9 +13,11 @@
   explicit FakeConfigurationView(records::Configuration configuration = {})
       : m_current(std::make_shared<const records::Configuration>(std::move(configuration))) {}
 
-  std::shared_ptr<const records::Configuration> Current() const override { return m_current; }
+  [[nodiscard]] std::shared_ptr<const records::Configuration> Current() const override {
+    return m_current;
+  }
 
-  std::optional<std::chrono::milliseconds> ConfirmationAge() const override {
+  [[nodiscard]] std::optional<std::chrono::milliseconds> ConfirmationAge() const override {
     return std::chrono::milliseconds(0);
   }
 
--- a/tests/support/fake_gate.h
+++ b/tests/support/fake_gate.h
@@ -13,7 +13,8 @@
 /// \brief A gate that admits everything, or refuses with a set decision.
 class FakeGate final : public placement::AdmissionGate {
  public:
-  placement::AdmissionDecision Admit(const placement::AdmissionRequest& /*request*/) override {
+  [[nodiscard]] placement::AdmissionDecision Admit(
+      const placement::AdmissionRequest& /*request*/) override {
     const absl::MutexLock lock(&m_mutex);
     placement::AdmissionDecision decision = m_refusal;
     if (m_closed) {
@@ -37,7 +38,7 @@
     m_reservations.erase(reservation);
   }
 
-  placement::GateLoad Load() const override {
+  [[nodiscard]] placement::GateLoad Load() const override {
     const absl::MutexLock lock(&m_mutex);
     return {m_progress, 0, static_cast<std::uint32_t>(m_reservations.size())};
   }
@@ -58,12 +59,12 @@
     m_refusal = refusal;
   }
 
-  bool Healthy() const {
+  [[nodiscard]] bool Healthy() const {
     const absl::MutexLock lock(&m_mutex);
     return m_healthy;
   }
 
-  bool WasUnhealthy() const {
+  [[nodiscard]] bool WasUnhealthy() const {
     const absl::MutexLock lock(&m_mutex);
     return m_was_unhealthy;
   }
--- a/tests/support/fake_home_pointers.h
+++ b/tests/support/fake_home_pointers.h
@@ -21,13 +21,13 @@
     m_pointers.erase({organisation.value(), chat.value()});
   }
 
-  std::optional<EndpointName> Find(const OrganisationName& organisation,
-                                   const ChatId& chat) const override {
+  [[nodiscard]] std::optional<EndpointName> Find(const OrganisationName& organisation,
+                                                 const ChatId& chat) const override {
     const auto found = m_pointers.find({organisation.value(), chat.value()});
     return found == m_pointers.end() ? std::nullopt : std::optional(found->second);
   }
 
-  std::size_t Size() const override { return m_pointers.size(); }
+  [[nodiscard]] std::size_t Size() const override { return m_pointers.size(); }
 
  private:
   std::map<std::pair<std::string, std::string>, EndpointName> m_pointers;
--- a/tests/unit/endpoint_transfer_test.cc
+++ b/tests/unit/endpoint_transfer_test.cc
@@ -47,8 +47,8 @@
  public:
   explicit RawServer(std::string answer) : m_socket(socket(AF_INET, SOCK_STREAM, 0)) {
     const auto any = wagtailwind::http::ParseSocketAddress("127.0.0.1:0");
-    bind(m_socket, any.Get(), any.Size());
-    listen(m_socket, 1);
+    cr_assert_eq(bind(m_socket, any.Get(), any.Size()), 0);
+    cr_assert_eq(listen(m_socket, 1), 0);
     sockaddr_storage bound{};
     socklen_t size = sizeof(bound);
     getsockname(m_socket, reinterpret_cast<sockaddr*>(&bound), &size);
