--- a/src/cli/cli_main.cc
+++ b/src/cli/cli_main.cc
@@ -1,6 +1,59 @@
 #include <iostream>
+#include <memory>
+#include <thread>
 
-int main() {
-  std::cerr << "not built yet\n";
-  return 2;
+#include "cli/errors.h"
+#include "cli/tool.h"
+#include "core/log.h"
+#include "core/metrics.h"
+#include "http/client.h"
+#include "platform/http_instance_list.h"
+#include "platform/http_key_value_service.h"
+
+namespace {
+
+constexpr std::chrono::seconds kStateTimeout{2};
+
+std::string FetchState(const std::string& address) {
+  try {
+    const wagtailwind::http::Response response =
+        wagtailwind::http::Client(address).Send("GET", "/state", "", kStateTimeout);
+    if (response.status == 200) {
+      return response.body;
+    }
+    throw wagtailwind::cli::ProcessUnreachable(address + ": status " +
+                                               std::to_string(response.status));
+  } catch (const wagtailwind::http::NotConnected& error) {
+    throw wagtailwind::cli::ProcessUnreachable(error.what());
+  } catch (const wagtailwind::http::AnswerLost& error) {
+    throw wagtailwind::cli::ProcessUnreachable(error.what());
+  }
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  using wagtailwind::platform::HttpInstanceList;
+  using wagtailwind::platform::HttpKeyValueService;
+  // Outcomes are printed by the commands; the adapters' warnings would only repeat them.
+  wagtailwind::InitialiseLogging(wagtailwind::LogLevel::kError, "wagtailwind");
+  wagtailwind::MetricsRegistry metrics;
+  const wagtailwind::SystemClock clock;
+  wagtailwind::SeededRandomSource random(wagtailwind::SeededRandomSource::EntropySeed());
+  const wagtailwind::cli::ToolEnvironment environment{
+      [&](const std::string& address) {
+        return std::make_shared<HttpKeyValueService>(address, metrics);
+      },
+      [&](const std::string& address) {
+        return std::make_shared<HttpInstanceList>(address, metrics);
+      },
+      &FetchState,
+      clock,
+      random,
+      [](std::chrono::milliseconds duration) { std::this_thread::sleep_for(duration); },
+      std::cin,
+      std::cout,
+      std::cerr};
+  const std::vector<std::string> arguments(argv + 1, argv + argc);
+  return static_cast<int>(wagtailwind::cli::RunTool(arguments, environment));
 }
--- /dev/null
+++ b/src/cli/tool.h
@@ -0,0 +1,39 @@
+#ifndef WAGTAILWIND_CLI_TOOL_H_
+#define WAGTAILWIND_CLI_TOOL_H_
+
+#include <functional>
+#include <iosfwd>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cli/exit_code.h"
+#include "core/clock.h"
+#include "core/random_source.h"
+#include "platform/instance_list.h"
+#include "platform/key_value_service.h"
+#include "records/change.h"
+
+namespace wagtailwind::cli {
+
+/// \brief What the tool uses of its surroundings.
+struct ToolEnvironment {
+  std::function<std::shared_ptr<platform::KeyValueService>(const std::string& address)> key_values;
+  std::function<std::shared_ptr<platform::InstanceList>(const std::string& address)> instances;
+  /// Body of `/state` at an admin address; throws ProcessUnreachable.
+  std::function<std::string(const std::string& address)> fetch_state;
+  const Clock& clock;
+  RandomSource& random;
+  records::Pause pause;
+  std::istream& in;
+  std::ostream& out;
+  std::ostream& err;
+};
+
+/// \brief Runs the tool with the arguments after the program's name.
+[[nodiscard]] ExitCode RunTool(const std::vector<std::string>& arguments,
+                               const ToolEnvironment& environment);
+
+}  // namespace wagtailwind::cli
+
+#endif  // WAGTAILWIND_CLI_TOOL_H_
--- a/src/platform/http_instance_list.cc
+++ b/src/platform/http_instance_list.cc
@@ -20,7 +20,8 @@
     ListedInstance instance{InstanceName(entry.at("name").get<std::string>()),
                             AvailabilityZoneName(entry.at("zone").get<std::string>()),
                             entry.at("gossip_address").get<std::string>(),
-                            entry.value("leaving", false)};
+                            entry.value("leaving", false),
+                            entry.value("admin_address", std::string())};
     return instance;
   } catch (const Json::exception&) {
     return std::nullopt;
--- a/src/platform/instance_list.h
+++ b/src/platform/instance_list.h
@@ -24,6 +24,8 @@
   AvailabilityZoneName zone;
   std::string gossip_address;
   bool leaving = false;
+  /// `ip:port` of the admin listener; empty if the list does not tell.
+  std::string admin_address;
 };
 
 /// \brief The platform's list of live and leaving instances. It lags behind.
--- a/src/records/document.cc
+++ b/src/records/document.cc
@@ -1,6 +1,7 @@
 #include "records/document.h"
 
 #include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <tuple>
 #include <utility>
@@ -29,10 +30,30 @@
           {"version", record.version}, {"change", record.change_id}, {"body", record.body}};
 }
 
+// The library would turn a negative or fractional number into some version without an error.
+std::uint64_t Unsigned(const Json& json, const char* field) {
+  const Json& value = json.at(field);
+  if (!value.is_number_unsigned()) {
+    throw MalformedDocument(std::string(field) + " is not a natural number");
+  }
+  return value.get<std::uint64_t>();
+}
+
+std::uint32_t SchemaOf(const Json& json) {
+  const std::uint64_t schema = Unsigned(json, "schema");
+  if (schema > std::numeric_limits<std::uint32_t>::max()) {
+    throw MalformedDocument("schema is too large");
+  }
+  return static_cast<std::uint32_t>(schema);
+}
+
 Record RecordFromJson(const Json& json) {
-  return {json.at("kind").get<std::string>(),     json.at("name").get<std::string>(),
-          json.at("schema").get<std::uint32_t>(), json.at("version").get<ConfigurationVersion>(),
-          json.at("change").get<std::string>(),   json.at("body").get<std::string>()};
+  return {json.at("kind").get<std::string>(),
+          json.at("name").get<std::string>(),
+          SchemaOf(json),
+          Unsigned(json, "version"),
+          json.at("change").get<std::string>(),
+          json.at("body").get<std::string>()};
 }
 
 Json RecordsToJson(const std::vector<Record>& records) {
@@ -65,11 +86,11 @@
     throw MalformedDocument("unknown format");
   }
   Document document;
-  document.version = json.at("version").get<ConfigurationVersion>();
+  document.version = Unsigned(json, "version");
   document.records = RecordsFromJson(json.at("records"));
   for (const Json& change : json.at("recent_changes")) {
     document.recent_changes.push_back(
-        {change.at("id").get<std::string>(), change.at("version").get<ConfigurationVersion>()});
+        {change.at("id").get<std::string>(), Unsigned(change, "version")});
   }
   const auto key_of = [](const Record& record) { return std::tie(record.kind, record.name); };
   std::ranges::sort(document.records, {}, key_of);
@@ -117,7 +138,7 @@
 
 Delta ParseDelta(std::string_view text) {
   return ParseOrThrow(text, [](const Json& json) {
-    Delta delta{json.at("version").get<ConfigurationVersion>(),
+    Delta delta{Unsigned(json, "version"),
                 json.at("change").get<std::string>(),
                 RecordsFromJson(json.at("put")),
                 {}};
--- a/tests/stand_ins/instance_list_stand_in_main.cc
+++ b/tests/stand_ins/instance_list_stand_in_main.cc
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <chrono>
 #include <cxxopts.hpp>
 #include <deque>
@@ -18,6 +19,9 @@
 class ListedInstances {
  public:
   HandlerResult Handle(const Request& request) {
+    if (request.path != "/control") {
+      std::this_thread::sleep_for(std::chrono::milliseconds(m_slow_ms));
+    }
     const std::lock_guard lock(m_mutex);
     if (request.path == "/control") {
       return Control(Json::parse(request.body));
@@ -30,7 +34,6 @@
       dropped.drop_connection = true;
       return dropped;
     }
-    std::this_thread::sleep_for(std::chrono::milliseconds(m_slow_ms));
     return {JsonResponse(200, Visible().dump()), nullptr, false};
   }
 
@@ -43,7 +46,7 @@
 
   HandlerResult Control(const Json& body) {
     m_down = body.value("down", m_down);
-    m_slow_ms = body.value("slow_ms", m_slow_ms);
+    m_slow_ms = body.value("slow_ms", m_slow_ms.load());
     m_lag_ms = body.value("lag_ms", m_lag_ms);
     Json list = m_versions.back().instances;
     if (body.contains("instances")) {
@@ -70,7 +73,7 @@
 
   std::mutex m_mutex;
   bool m_down = false;
-  std::int64_t m_slow_ms = 0;
+  std::atomic<std::int64_t> m_slow_ms = 0;
   std::int64_t m_lag_ms = 0;
   std::deque<Version> m_versions{{Time{}, Json::array()}};
 };
--- a/tests/unit/records_change_test.cc
+++ b/tests/unit/records_change_test.cc
@@ -136,6 +136,26 @@
   cr_assert(PutOrganisation(service, "b").outcome == ChangeOutcome::kUnknown);
 }
 
+// Guards against "not made" when the document no longer remembers so far back.
+Test(records_change, a_change_that_the_document_may_have_forgotten_is_unknown) {
+  FakeKeyValueService service;
+  StoreBasics(service);
+  SeededRandomSource random(1);
+  service.LoseNextAnswers(1);
+  bool overtaken = false;
+  const auto pause = [&](std::chrono::milliseconds) {
+    for (int i = 0; !overtaken && i < 256; ++i) {
+      (void)Make(service, {PutOf("service", "s", "{}")});
+    }
+    overtaken = true;
+  };
+  const ChangeResult result = wagtailwind::records::ChangeRecords(
+      {"forgotten", {PutOf("organisation", "a", kOrganisation)}, {}, false}, service, random,
+      pause);
+  cr_assert(result.outcome == ChangeOutcome::kUnknown);
+  cr_assert_eq(result.reason, "change_forgotten");
+}
+
 Test(records_change, an_outage_before_the_write_is_not_accepted) {
   FakeKeyValueService service;
   StoreBasics(service);
--- a/tests/unit/records_store_test.cc
+++ b/tests/unit/records_store_test.cc
@@ -80,7 +80,9 @@
 Test(records_store, malformed_offers_change_nothing) {
   StoreFixture fixture;
   for (const char* text : {"", "{", "[]", "{}", "null", R"({"format":2,"version":9})",
-                           R"({"format":1,"version":"9","records":[],"recent_changes":[]})"}) {
+                           R"({"format":1,"version":"9","records":[],"recent_changes":[]})",
+                           R"({"format":1,"version":-1,"records":[],"recent_changes":[]})",
+                           R"({"format":1,"version":1.5,"records":[],"recent_changes":[]})"}) {
     cr_assert_not(fixture.store.OfferDocument(text));
     cr_assert_not(fixture.store.OfferChange(text));
   }
