--- /dev/null
+++ b/src/requests/backoff.h
@@ -0,0 +1,16 @@
+#ifndef WAGTAILWIND_REQUESTS_BACKOFF_H_
+#define WAGTAILWIND_REQUESTS_BACKOFF_H_
+
+#include <chrono>
+#include <cstdint>
+
+#include "core/random_source.h"
+
+namespace wagtailwind::requests {
+
+/// \brief Delay before a retry: uniform between zero and 10 ms × 2^retry; `retry` counts from 0.
+[[nodiscard]] std::chrono::microseconds BackoffDelay(std::uint32_t retry, RandomSource& random);
+
+}  // namespace wagtailwind::requests
+
+#endif  // WAGTAILWIND_REQUESTS_BACKOFF_H_
