--- /dev/null
+++ b/src/router/answer_channel.h
@@ -0,0 +1,90 @@
+#ifndef WAGTAILWIND_ROUTER_ANSWER_CHANNEL_H_
+#define WAGTAILWIND_ROUTER_ANSWER_CHANNEL_H_
+
+#include <cstddef>
+#include <functional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "http/message.h"
+
+namespace wagtailwind::router {
+
+/// \brief Status and headers of an answer to a caller.
+struct ResponseHead {
+  int status = 200;
+  std::vector<http::Header> headers;
+  /// The body goes out as it comes; otherwise only when it is whole.
+  bool streamed = false;
+};
+
+/// \brief Carries one answer from the request flow to the HTTP front end through a bounded buffer.
+/// Safe to use from several threads. Callbacks run in the thread of the call that causes them,
+/// without a lock.
+class AnswerChannel {
+ public:
+  /// \brief More than this many unread bytes hold the producer back.
+  explicit AnswerChannel(std::size_t limit) : m_limit(limit) {}
+
+  /// \name Producer
+  /// @{
+  void SetHead(ResponseHead head);
+  void Append(std::string_view data);
+
+  /// \brief Calls `writable` once when at most the limit is unread, or the reader is gone.
+  void WhenWritable(std::function<void()> writable);
+
+  /// \brief No more bytes come.
+  void End();
+
+  /// \brief Sets what runs once when the reader is gone before the end.
+  void SetOnAbandoned(std::function<void()> abandoned);
+  /// @}
+
+  /// \name Reader
+  /// @{
+
+  /// \brief Calls `readable` once when there is something to send: bytes of a streamed answer, or
+  /// the end.
+  void WhenReadable(std::function<void()> readable);
+  [[nodiscard]] bool IsReadable() const;
+  [[nodiscard]] ResponseHead Head() const;
+
+  /// \brief Moves unread bytes to a buffer; the number of bytes.
+  [[nodiscard]] std::size_t Read(std::span<char> buffer);
+
+  /// \brief All unread bytes.
+  [[nodiscard]] std::string ReadAll();
+
+  /// \brief Whether the end has come and all bytes are read.
+  [[nodiscard]] bool AtEnd() const;
+
+  /// \brief The caller is gone.
+  void Abandon();
+  /// @}
+
+ private:
+  [[nodiscard]] bool Readable() const ABSL_SHARED_LOCKS_REQUIRED(m_mutex);
+  [[nodiscard]] std::size_t Unread() const ABSL_SHARED_LOCKS_REQUIRED(m_mutex);
+  void NotifyReadable();
+  void NotifyWritable();
+
+  const std::size_t m_limit;
+  mutable absl::Mutex m_mutex;
+  ResponseHead m_head ABSL_GUARDED_BY(m_mutex);
+  std::string m_data ABSL_GUARDED_BY(m_mutex);
+  std::size_t m_read ABSL_GUARDED_BY(m_mutex) = 0;
+  bool m_ended ABSL_GUARDED_BY(m_mutex) = false;
+  bool m_abandoned ABSL_GUARDED_BY(m_mutex) = false;
+  std::function<void()> m_when_readable ABSL_GUARDED_BY(m_mutex);
+  std::function<void()> m_when_writable ABSL_GUARDED_BY(m_mutex);
+  std::function<void()> m_on_abandoned ABSL_GUARDED_BY(m_mutex);
+};
+
+}  // namespace wagtailwind::router
+
+#endif  // WAGTAILWIND_ROUTER_ANSWER_CHANNEL_H_
--- /dev/null
+++ b/src/router/flow_context.h
@@ -0,0 +1,68 @@
+#ifndef WAGTAILWIND_ROUTER_FLOW_CONTEXT_H_
+#define WAGTAILWIND_ROUTER_FLOW_CONTEXT_H_
+
+#include <kj/async.h>
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <span>
+#include <unordered_set>
+#include <vector>
+
+#include "router/request_decision.h"
+#include "router/request_flow.h"
+
+namespace wagtailwind::router {
+
+class ActiveRequest;
+class TaskErrors;
+
+/// \brief Metrics of the request flow.
+struct FlowMetrics {
+  explicit FlowMetrics(MetricsRegistry& registry);
+
+  Counter& results;
+  Counter& not_run;
+  Counter& unknown;
+  Counter& attempts;
+  Counter& refusals;
+  Counter& retries;
+  Counter& lost;
+  Counter& callers_gone;
+  Counter& unmatched;
+  Gauge& active;
+  DurationSummary& first_byte;
+  DurationSummary& whole;
+};
+
+/// \brief What the requests of one flow share.
+struct FlowContext {
+  FlowContext(RequestFlowSettings flow_settings, RequestFlowParts flow_parts);
+
+  /// \brief Runs a function on the loop after a delay. Only on the loop.
+  void After(std::chrono::microseconds delay, std::function<void()> function);
+
+  void Add(const std::shared_ptr<ActiveRequest>& request);
+  void Remove(const std::shared_ptr<ActiveRequest>& request);
+
+  /// \brief Members that advertise these endpoints, in the same order.
+  [[nodiscard]] std::vector<Candidate> FindEndpoints(std::span<const EndpointName> names) const;
+
+  const RequestFlowSettings settings;
+  const RequestFlowParts parts;
+  FlowMetrics metrics;
+  requests::RetryBudget budget;
+  requests::CircuitBreakerTable breakers;
+  std::atomic<std::size_t> active_count{0};
+  /// Used on the loop only.
+  std::unordered_set<std::shared_ptr<ActiveRequest>> active;
+  std::shared_ptr<TaskErrors> task_errors;
+  /// Null once the flow has ended; used on the loop only.
+  std::unique_ptr<kj::TaskSet> tasks;
+};
+
+}  // namespace wagtailwind::router
+
+#endif  // WAGTAILWIND_ROUTER_FLOW_CONTEXT_H_
--- /dev/null
+++ b/src/router/hang_up_watcher.cc
@@ -0,0 +1,73 @@
+#include "router/hang_up_watcher.h"
+
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <array>
+#include <utility>
+
+namespace wagtailwind::router {
+
+HangUpWatcher::HangUpWatcher()
+    : m_epoll(epoll_create1(EPOLL_CLOEXEC)), m_stop_event(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {
+  epoll_event event{};
+  event.events = EPOLLIN;
+  event.data.u64 = 0;
+  epoll_ctl(m_epoll, EPOLL_CTL_ADD, m_stop_event, &event);
+  m_thread = std::thread([this] { Run(); });
+}
+
+HangUpWatcher::~HangUpWatcher() {
+  const std::uint64_t one = 1;
+  [[maybe_unused]] const ssize_t written = write(m_stop_event, &one, sizeof(one));
+  m_thread.join();
+  close(m_stop_event);
+  close(m_epoll);
+}
+
+std::uint64_t HangUpWatcher::Add(int socket, std::shared_ptr<AnswerChannel> channel) {
+  const absl::MutexLock lock(&m_mutex);
+  const std::uint64_t number = m_next_number++;
+  m_entries.emplace(number, Entry{socket, std::move(channel)});
+  epoll_event event{};
+  event.events = EPOLLRDHUP | EPOLLONESHOT;
+  event.data.u64 = number;
+  epoll_ctl(m_epoll, EPOLL_CTL_ADD, socket, &event);
+  return number;
+}
+
+void HangUpWatcher::Remove(std::uint64_t number) {
+  const absl::MutexLock lock(&m_mutex);
+  const auto found = m_entries.find(number);
+  if (found != m_entries.end()) {
+    epoll_ctl(m_epoll, EPOLL_CTL_DEL, found->second.socket, nullptr);
+    m_entries.erase(found);
+  }
+}
+
+std::shared_ptr<AnswerChannel> HangUpWatcher::Take(std::uint64_t number) {
+  const absl::MutexLock lock(&m_mutex);
+  const auto found = m_entries.find(number);
+  // The entry stays until Remove(), which takes the socket off the epoll set.
+  return found == m_entries.end() ? nullptr : found->second.channel;
+}
+
+void HangUpWatcher::Run() {
+  constexpr int kMaxEvents = 64;
+  std::array<epoll_event, kMaxEvents> events{};
+  while (true) {
+    const int count = epoll_wait(m_epoll, events.data(), kMaxEvents, -1);
+    for (int i = 0; i < count; ++i) {
+      const std::uint64_t number = events[static_cast<std::size_t>(i)].data.u64;
+      if (number == 0) {
+        return;
+      }
+      if (const std::shared_ptr<AnswerChannel> channel = Take(number)) {
+        channel->Abandon();
+      }
+    }
+  }
+}
+
+}  // namespace wagtailwind::router
--- /dev/null
+++ b/src/router/request_decision.h
@@ -0,0 +1,156 @@
+#ifndef WAGTAILWIND_ROUTER_REQUEST_DECISION_H_
+#define WAGTAILWIND_ROUTER_REQUEST_DECISION_H_
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "core/ids.h"
+#include "requests/outcome.h"
+#include "requests/retry_budget.h"
+
+namespace wagtailwind::router {
+
+/// \brief An agent that may serve a request.
+struct Candidate {
+  EndpointName endpoint;
+  std::string rpc_address;
+  Incarnation incarnation = 0;
+  /// Work relative to capacity as last heard; decides who takes a last-resort attempt.
+  double load_ratio = 1.0;
+};
+
+/// \brief What one request may cost.
+struct RequestPolicy {
+  /// A call that is not repeatable is never attempted again once an attempt may have run.
+  bool repeatable = true;
+  /// Attempts that failed, or that an agent admitted.
+  std::uint32_t max_admitted = 3;
+  /// Candidates that are asked, without the last resort.
+  std::uint32_t max_candidates = 8;
+};
+
+/// \brief Refusal of an attempt by its agent.
+struct RefusalEvent {
+  requests::Outcome outcome = requests::Outcome::kNotRun;
+  requests::FailureReason reason = requests::FailureReason::kNone;
+  std::chrono::milliseconds retry_after{0};
+  /// Agents that the refusing agent names, best first.
+  std::vector<Candidate> redirects;
+};
+
+/// \brief What to do after an event.
+struct Step {
+  enum class Kind : std::uint8_t {
+    /// Nothing changes.
+    kContinue,
+    /// Start `attempt` at `candidate`, after the backoff of retry number `backoff`, if above 0.
+    kAttempt,
+    /// The request is over. A running attempt is to be cancelled.
+    kFinish,
+  };
+
+  Kind kind = Kind::kContinue;
+  std::uint32_t attempt = 0;
+  Candidate candidate;
+  bool last_resort = false;
+  std::uint32_t backoff = 0;
+  requests::Outcome outcome = requests::Outcome::kUnknown;
+  requests::FailureReason reason = requests::FailureReason::kNone;
+  std::chrono::milliseconds retry_after{0};
+};
+
+/// \brief The decisions of one request: which attempt comes next, and what the caller may be told
+/// at the end. Has no input or output and no clock. Events of an attempt that is no longer the
+/// current one are ignored and counted.
+class RequestDecision {
+ public:
+  /// \brief `budget` outlives the object.
+  RequestDecision(RequestPolicy policy, std::vector<Candidate> candidates,
+                  requests::RetryBudget& budget);
+
+  /// \brief The first attempt, or the end if there is no candidate.
+  [[nodiscard]] Step Begin();
+
+  /// \name Events of an attempt
+  /// @{
+
+  /// \brief The endpoint's circuit breaker is open; the attempt was not started.
+  [[nodiscard]] Step OnBreakerOpen(std::uint32_t attempt);
+
+  /// \brief No connection was made.
+  [[nodiscard]] Step OnNotHandedOver(std::uint32_t attempt);
+
+  /// \brief The attempt is about to be written to a connection.
+  void OnHandedOver(std::uint32_t attempt);
+
+  [[nodiscard]] Step OnRefused(std::uint32_t attempt, const RefusalEvent& refusal);
+  void OnAdmitted(std::uint32_t attempt);
+
+  /// \brief The endpoint's answer has begun.
+  void OnHead(std::uint32_t attempt);
+
+  /// \brief The whole answer is there.
+  [[nodiscard]] Step OnComplete(std::uint32_t attempt);
+
+  /// \brief The agent ended the attempt without a whole answer.
+  [[nodiscard]] Step OnIncomplete(std::uint32_t attempt, requests::Outcome outcome,
+                                  requests::FailureReason reason);
+
+  /// \brief The attempt was lost after it was handed over.
+  [[nodiscard]] Step OnLost(std::uint32_t attempt, requests::FailureReason reason);
+  /// @}
+
+  /// \name Events of the request
+  /// @{
+
+  /// \brief A byte of the answer has gone to the caller.
+  void OnBytesToCaller() noexcept { m_bytes_to_caller = true; }
+
+  /// \brief The request ends now: deadline, hang-up, shutdown, or an answer over a limit.
+  [[nodiscard]] Step OnAbort(requests::FailureReason reason);
+  /// @}
+
+  /// \brief Events that belonged to no current attempt.
+  [[nodiscard]] std::uint32_t unmatched() const noexcept { return m_unmatched; }
+  [[nodiscard]] std::uint32_t attempts() const noexcept { return m_attempt; }
+  [[nodiscard]] bool finished() const noexcept { return m_phase == Phase::kFinished; }
+
+ private:
+  enum class Phase : std::uint8_t { kIdle, kStarting, kHandedOver, kAdmitted, kHead, kFinished };
+
+  [[nodiscard]] bool IsCurrent(std::uint32_t attempt) noexcept;
+  [[nodiscard]] bool WasHandedOver() const noexcept;
+  [[nodiscard]] Step StartNext(bool after_failure);
+  [[nodiscard]] Step StartAt(Candidate candidate, bool last_resort, std::uint32_t backoff);
+  [[nodiscard]] Step AfterFailure(requests::FailureReason reason);
+  [[nodiscard]] Step AfterUnknown(requests::FailureReason reason);
+  [[nodiscard]] Step WhenExhausted();
+  [[nodiscard]] Step Finish(requests::FailureReason reason);
+  void Prepend(const std::vector<Candidate>& redirects);
+
+  const RequestPolicy m_policy;
+  requests::RetryBudget& m_budget;
+  std::deque<Candidate> m_waiting;
+  std::vector<Candidate> m_refused;
+  Candidate m_current;
+  Phase m_phase = Phase::kIdle;
+  std::uint32_t m_attempt = 0;
+  std::uint32_t m_asked = 0;
+  std::uint32_t m_failures = 0;
+  std::uint32_t m_unmatched = 0;
+  bool m_bytes_to_caller = false;
+  bool m_last_resort_used = false;
+  bool m_only_bound_refusals = true;
+  /// An attempt may have run; from then on the outcome is never "not run".
+  bool m_may_have_run = false;
+  requests::FailureReason m_unknown_reason = requests::FailureReason::kNone;
+  requests::FailureReason m_last_reason = requests::FailureReason::kNoEndpoint;
+  std::chrono::milliseconds m_retry_after{0};
+};
+
+}  // namespace wagtailwind::router
+
+#endif  // WAGTAILWIND_ROUTER_REQUEST_DECISION_H_
--- /dev/null
+++ b/src/router/request_flow.cc
@@ -0,0 +1,191 @@
+#include "router/request_flow.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <variant>
+
+#include "router/active_request.h"
+#include "router/flow_context.h"
+#include "router/response_headers.h"
+#include "router/validated_request.h"
+
+namespace wagtailwind::router {
+
+using requests::FailureReason;
+using requests::Outcome;
+
+namespace {
+
+// More candidates than one request may ask, so that open circuit breakers can be passed over.
+constexpr std::size_t kCandidateLimit = 16;
+
+using LoadRatios = std::vector<std::pair<EndpointName, double>>;
+
+LoadRatios ReadLoads(const gossip::LoadView* loads, const ServiceName& pool) {
+  LoadRatios ratios;
+  if (loads == nullptr) {
+    return ratios;
+  }
+  for (const gossip::LoadEntry& entry : loads->PoolLoad(pool)) {
+    if (entry.capacity > 0) {
+      ratios.emplace_back(entry.endpoint, static_cast<double>(entry.work_tokens) / entry.capacity);
+    }
+  }
+  return ratios;
+}
+
+Candidate MakeCandidate(const gossip::Member& member, const LoadRatios& ratios) {
+  Candidate candidate{member.endpoint->endpoint, member.rpc_address, member.incarnation, 1.0};
+  const auto found = std::find_if(ratios.begin(), ratios.end(), [&candidate](const auto& ratio) {
+    return ratio.first == candidate.endpoint;
+  });
+  if (found != ratios.end()) {
+    candidate.load_ratio = found->second;
+  }
+  return candidate;
+}
+
+std::vector<Candidate> SelectCandidates(const RequestFlowParts& parts,
+                                        const placement::PlacementRequest& request,
+                                        std::size_t limit) {
+  const gossip::MemberSnapshot members = parts.members.Members();
+  const LoadRatios ratios = limit > 1 ? ReadLoads(parts.loads, request.pool) : LoadRatios{};
+  std::vector<Candidate> candidates;
+  for (const gossip::Member* member :
+       parts.selector.Select(request, *members, parts.clock.Now(), limit)) {
+    if (member->endpoint) {
+      candidates.push_back(MakeCandidate(*member, ratios));
+    }
+  }
+  return candidates;
+}
+
+void Place(const FlowContext& context, PreparedRequest& prepared) {
+  const ValidatedRequest& request = prepared.request;
+  if (request.resume) {
+    const EndpointName endpoint = request.resume->endpoint;
+    prepared.candidates = context.FindEndpoints({&endpoint, 1});
+    return;
+  }
+  prepared.candidates = SelectCandidates(context.parts, request.placement, kCandidateLimit);
+  if (request.placement.chat.empty()) {
+    return;
+  }
+  placement::PlacementRequest without_hint = request.placement;
+  without_hint.hint = EndpointName();
+  std::vector<Candidate> home = SelectCandidates(context.parts, without_hint, 1);
+  if (!home.empty()) {
+    prepared.home = std::move(home.front());
+  }
+}
+
+}  // namespace
+
+struct RequestFlow::Context : FlowContext {
+  using FlowContext::FlowContext;
+};
+
+/// \brief The part of a request that runs on a worker.
+class RequestFlow::Job {
+ public:
+  Job(std::shared_ptr<Context> context, http::Request request,
+      std::shared_ptr<AnswerChannel> channel)
+      : m_context(std::move(context)),
+        m_request(std::move(request)),
+        m_channel(std::move(channel)),
+        m_received(m_context->parts.clock.Now()) {}
+
+  void Run() {
+    const RequestFlowParts& parts = m_context->parts;
+    auto checked =
+        ValidateRequest(m_request, *parts.configuration.Current(), parts.clock.WallNow());
+    if (const auto* error = std::get_if<CallerError>(&checked)) {
+      Refuse(*error);
+      return;
+    }
+    PreparedRequest prepared;
+    prepared.received = m_received;
+    prepared.request = std::move(std::get<ValidatedRequest>(checked));
+    prepared.request.call.request_id = parts.random.NewRequestId();
+    prepared.request.call.router_incarnation = m_context->settings.incarnation;
+    Place(*m_context, prepared);
+    if (prepared.request.resume && prepared.candidates.empty()) {
+      Refuse({FailureReason::kAnswerNotFound, Outcome::kUnknown, {}, {}});
+      return;
+    }
+    auto active = std::make_shared<ActiveRequest>(m_context, std::move(prepared), m_channel);
+    parts.loop.Post([context = m_context, active, channel = m_channel] {
+      if (!context->tasks) {
+        SendError({FailureReason::kNotReady, Outcome::kNotRun, {}, {}}, nullptr, *channel);
+        return;
+      }
+      context->Add(active);
+      active->Begin();
+    });
+  }
+
+  void Refuse(const CallerError& error) {
+    Counter& counter =
+        error.outcome == Outcome::kNotRun ? m_context->metrics.not_run : m_context->metrics.unknown;
+    counter.Add();
+    m_context->metrics.active.Set(static_cast<double>(--m_context->active_count));
+    SendError(error, &m_context->parts.configuration, *m_channel);
+  }
+
+ private:
+  std::shared_ptr<Context> m_context;
+  http::Request m_request;
+  std::shared_ptr<AnswerChannel> m_channel;
+  SteadyTime m_received;
+};
+
+RequestFlow::RequestFlow(RequestFlowSettings settings, RequestFlowParts parts)
+    : m_context(std::make_shared<Context>(settings, parts)) {}
+
+RequestFlow::~RequestFlow() {
+  EndAll(FailureReason::kShutdownTimeout);
+  m_context->parts.loop.Run([this] { m_context->tasks.reset(); });
+}
+
+std::shared_ptr<AnswerChannel> RequestFlow::Start(http::Request request) {
+  auto channel = std::make_shared<AnswerChannel>(m_context->settings.stream_buffer_bytes);
+  m_context->metrics.active.Set(static_cast<double>(++m_context->active_count));
+  const auto job = std::make_shared<Job>(m_context, std::move(request), channel);
+  if (!m_context->parts.workers.Submit([job] { job->Run(); })) {
+    job->Refuse({FailureReason::kFleetFull, Outcome::kNotRun, std::chrono::seconds(1), {}});
+  }
+  return channel;
+}
+
+std::size_t RequestFlow::EndAll(FailureReason reason) {
+  std::size_t count = 0;
+  m_context->parts.loop.Run([this, reason, &count] {
+    const auto requests = m_context->active;
+    for (const std::shared_ptr<ActiveRequest>& request : requests) {
+      request->Abort(reason);
+    }
+    count = requests.size();
+  });
+  return count;
+}
+
+std::size_t RequestFlow::Active() const { return m_context->active_count; }
+
+std::string RequestFlow::DumpState() const {
+  nlohmann::ordered_json state;
+  state["active_requests"] = Active();
+  state["retry_budget_tokens"] = m_context->budget.Tokens();
+  std::size_t connections = 0;
+  m_context->parts.loop.Run(
+      [this, &connections] { connections = m_context->parts.agents.Connections(); });
+  state["agent_connections"] = connections;
+  state["circuit_breakers"] = nlohmann::ordered_json::object();
+  for (const auto& [endpoint, breaker] : m_context->breakers.States()) {
+    constexpr const char* kNames[] = {"closed", "open", "half_open"};
+    state["circuit_breakers"][endpoint.value()] = kNames[static_cast<std::size_t>(breaker)];
+  }
+  return state.dump(2, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
+}  // namespace wagtailwind::router
--- /dev/null
+++ b/tests/unit/router_decision_test.cc
@@ -0,0 +1,286 @@
+#include <criterion/criterion.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "core/random_source.h"
+#include "requests/retry_budget.h"
+#include "router/request_decision.h"
+
+namespace {
+
+using wagtailwind::EndpointName;
+using wagtailwind::requests::FailureReason;
+using wagtailwind::requests::Outcome;
+using wagtailwind::requests::RetryBudget;
+using wagtailwind::router::Candidate;
+using wagtailwind::router::RefusalEvent;
+using wagtailwind::router::RequestDecision;
+using wagtailwind::router::RequestPolicy;
+using wagtailwind::router::Step;
+
+std::vector<Candidate> Candidates(int count) {
+  std::vector<Candidate> candidates;
+  candidates.reserve(static_cast<std::size_t>(count));
+  for (int i = 0; i < count; ++i) {
+    candidates.push_back({EndpointName("e" + std::to_string(i)), "", 1, 1.0 / (i + 1)});
+  }
+  return candidates;
+}
+
+enum class Event : std::uint8_t {
+  kBreakerOpen,
+  kNotHandedOver,
+  kHandedOver,
+  kRefusedForBound,
+  kRedirected,
+  kRefusedForKey,
+  kRefusedForPlatform,
+  kAdmitted,
+  kHead,
+  kBytes,
+  kComplete,
+  kEndedNotRun,
+  kEndedUnknown,
+  kLost,
+  kDeadline,
+  kLateRefusal,
+  kLateComplete,
+  kCount,
+};
+
+/// Follows one request from outside and checks what the caller may be told.
+class Checker {
+ public:
+  Checker(RequestPolicy policy, int candidates)
+      : m_policy(policy), m_decision(policy, Candidates(candidates), m_budget) {
+    Check(m_decision.Begin());
+  }
+
+  void Feed(Event event) {
+    const bool was_finished = m_finished;
+    const Step step = Apply(event);
+    if (was_finished) {
+      cr_assert_eq(step.kind, Step::Kind::kContinue, "a finished request must stay finished");
+      return;
+    }
+    Check(step);
+  }
+
+  [[nodiscard]] bool finished() const { return m_finished; }
+
+ private:
+  Step Apply(Event event) {
+    const std::uint32_t current = m_attempt;
+    switch (event) {
+      case Event::kBreakerOpen:
+        return m_decision.OnBreakerOpen(current);
+      case Event::kNotHandedOver:
+        return m_decision.OnNotHandedOver(current);
+      case Event::kHandedOver:
+        m_decision.OnHandedOver(current);
+        m_may_run = m_may_run || !m_finished;
+        return {};
+      case Event::kRefusedForBound:
+        return Refuse(Outcome::kNotRun, FailureReason::kOverBound, {});
+      case Event::kRedirected:
+        return Refuse(Outcome::kNotRun, FailureReason::kRedirected, Candidates(3));
+      case Event::kRefusedForKey:
+        return Refuse(Outcome::kUnknown, FailureReason::kRequestKeyAlreadyUsed, {});
+      case Event::kRefusedForPlatform:
+        return Refuse(Outcome::kNotRun, FailureReason::kPlatformUnavailable, {});
+      case Event::kAdmitted:
+        m_decision.OnAdmitted(current);
+        m_admitted = m_admitted || m_may_run;
+        return {};
+      case Event::kHead:
+        m_decision.OnHead(current);
+        m_head = m_head || m_admitted;
+        return {};
+      case Event::kBytes:
+        if (m_head) {
+          m_bytes = true;
+          m_decision.OnBytesToCaller();
+        }
+        return {};
+      case Event::kComplete:
+        return m_decision.OnComplete(current);
+      case Event::kEndedNotRun:
+        m_may_run = m_may_run && m_head;
+        return m_decision.OnIncomplete(current, Outcome::kNotRun, FailureReason::kEngineLost);
+      case Event::kEndedUnknown:
+        m_lost = true;
+        return m_decision.OnIncomplete(current, Outcome::kUnknown, FailureReason::kEngineLost);
+      case Event::kLost:
+        m_lost = true;
+        return m_decision.OnLost(current, FailureReason::kConnectionLost);
+      case Event::kDeadline:
+        return m_decision.OnAbort(FailureReason::kDeadlineExceeded);
+      case Event::kLateRefusal:
+        return m_decision.OnRefused(current - 1, {});
+      default:
+        return m_decision.OnComplete(current - 1);
+    }
+  }
+
+  Step Refuse(Outcome outcome, FailureReason reason, std::vector<Candidate> redirects) {
+    // Only an attempt that was handed over and is not admitted can be refused.
+    if (m_may_run && !m_admitted && outcome == Outcome::kNotRun) {
+      m_may_run = false;
+    }
+    return m_decision.OnRefused(m_attempt, RefusalEvent{outcome, reason, {}, std::move(redirects)});
+  }
+
+  void Check(const Step& step) {
+    if (step.kind == Step::Kind::kAttempt) {
+      CheckAttempt(step);
+    } else if (step.kind == Step::Kind::kFinish) {
+      CheckFinish(step);
+    }
+  }
+
+  void CheckAttempt(const Step& step) {
+    cr_assert_not(m_bytes, "an attempt after bytes to the caller would join two answers");
+    cr_assert(m_policy.repeatable || !(m_may_run || m_lost),
+              "a call that is not repeatable was attempted twice");
+    cr_assert_eq(step.attempt, m_attempt + 1);
+    cr_assert_leq(step.attempt, m_policy.max_candidates + 1);
+    m_attempt = step.attempt;
+    m_unknown_before = m_unknown_before || m_may_run || m_lost;
+    m_may_run = m_admitted = m_head = m_lost = false;
+  }
+
+  void CheckFinish(const Step& step) {
+    m_finished = true;
+    if (step.outcome == Outcome::kNotRun) {
+      cr_assert_not(m_may_run || m_lost || m_unknown_before, "not-run was said of a lost attempt");
+    }
+    if (step.outcome == Outcome::kResult) {
+      cr_assert(m_head, "a result without an answer");
+    }
+  }
+
+  const RequestPolicy m_policy;
+  RetryBudget m_budget;
+  RequestDecision m_decision;
+  std::uint32_t m_attempt = 0;
+  bool m_may_run = false;
+  bool m_admitted = false;
+  bool m_head = false;
+  bool m_bytes = false;
+  bool m_lost = false;
+  bool m_unknown_before = false;
+  bool m_finished = false;
+};
+
+void TryAll(const RequestPolicy& policy, int candidates, std::vector<Event>& events,
+            std::size_t depth) {
+  Checker checker(policy, candidates);
+  for (const Event event : events) {
+    checker.Feed(event);
+  }
+  if (depth == 0) {
+    return;
+  }
+  for (int i = 0; i < static_cast<int>(Event::kCount); ++i) {
+    events.push_back(static_cast<Event>(i));
+    TryAll(policy, candidates, events, depth - 1);
+    events.pop_back();
+  }
+}
+
+Step RefuseAll(RequestDecision& decision, FailureReason reason, std::uint32_t& asked) {
+  Step step = decision.Begin();
+  while (step.kind == Step::Kind::kAttempt && !step.last_resort) {
+    ++asked;
+    decision.OnHandedOver(step.attempt);
+    step = decision.OnRefused(step.attempt, {Outcome::kNotRun, reason, {}, {}});
+  }
+  return step;
+}
+
+}  // namespace
+
+// Guards against "not run" after an attempt that may have run, and against a second attempt of a
+// call that is not repeatable, under every order of four events.
+Test(request_decision, keeps_the_outcome_rules_under_every_order_of_events) {
+  for (const bool repeatable : {false, true}) {
+    for (const int candidates : {0, 1, 3}) {
+      std::vector<Event> events;
+      TryAll({.repeatable = repeatable}, candidates, events, 4);
+    }
+  }
+}
+
+// Guards against the same faults in long runs, and against requests that go on for ever.
+Test(request_decision, is_bounded_in_random_runs) {
+  wagtailwind::SeededRandomSource random(11);
+  for (int run = 0; run < 20'000; ++run) {
+    Checker checker({.repeatable = run % 2 == 0}, run % 12);
+    for (int i = 0; i < 60; ++i) {
+      checker.Feed(static_cast<Event>(random.Below(static_cast<std::uint64_t>(Event::kCount))));
+    }
+  }
+}
+
+// Guards against asking the whole fleet, and against giving the last resort to a loaded agent.
+Test(request_decision, asks_eight_candidates_then_the_least_loaded_once) {
+  RetryBudget budget({0, 0});
+  RequestDecision decision({}, Candidates(12), budget);
+  std::uint32_t asked = 0;
+  const Step last = RefuseAll(decision, FailureReason::kOverBound, asked);
+  cr_assert_eq(asked, 8U);
+  cr_assert(last.last_resort);
+  cr_assert_eq(last.candidate.endpoint, EndpointName("e7"));
+  decision.OnHandedOver(last.attempt);
+  const Step end =
+      decision.OnRefused(last.attempt, {Outcome::kNotRun, FailureReason::kOverBound, {}, {}});
+  cr_assert_eq(end.kind, Step::Kind::kFinish);
+  cr_assert_eq(end.outcome, Outcome::kNotRun);
+  cr_assert_eq(end.reason, FailureReason::kFleetFull);
+}
+
+// Guards against a last-resort attempt after refusals that have another reason than the bound.
+Test(request_decision, has_no_last_resort_for_other_refusals) {
+  RetryBudget budget;
+  RequestDecision decision({}, Candidates(2), budget);
+  std::uint32_t asked = 0;
+  const Step end = RefuseAll(decision, FailureReason::kDraining, asked);
+  cr_assert_eq(asked, 2U);
+  cr_assert_eq(end.kind, Step::Kind::kFinish);
+  cr_assert_eq(end.reason, FailureReason::kDraining);
+}
+
+// Guards against ignored redirects and against a redirect loop.
+Test(request_decision, follows_redirects_first_and_never_back) {
+  RetryBudget budget;
+  RequestDecision decision({}, Candidates(2), budget);
+  const Step first = decision.Begin();
+  decision.OnHandedOver(first.attempt);
+  const Candidate elsewhere{EndpointName("elsewhere"), "", 1, 0.1};
+  const Step second = decision.OnRefused(
+      first.attempt,
+      {Outcome::kNotRun, FailureReason::kRedirected, {}, {first.candidate, elsewhere}});
+  cr_assert_eq(second.candidate.endpoint, elsewhere.endpoint);
+  cr_assert_eq(second.backoff, 0U);
+}
+
+// Guards against retries without budget: an outage must not multiply the load.
+Test(request_decision, retries_failures_within_the_budget_and_three_times_at_most) {
+  RetryBudget none({0, 0});
+  RequestDecision unfunded({}, Candidates(3), none);
+  cr_assert_eq(unfunded.OnNotHandedOver(unfunded.Begin().attempt).outcome, Outcome::kNotRun);
+  RetryBudget budget;
+  RequestDecision decision({}, Candidates(9), budget);
+  Step step = decision.Begin();
+  std::uint32_t attempts = 0;
+  while (step.kind == Step::Kind::kAttempt) {
+    ++attempts;
+    decision.OnHandedOver(step.attempt);
+    decision.OnAdmitted(step.attempt);
+    step = decision.OnLost(step.attempt, FailureReason::kConnectionLost);
+  }
+  cr_assert_eq(attempts, 3U);
+  cr_assert_eq(step.outcome, Outcome::kUnknown);
+}
