--- /dev/null
+++ b/src/gossip/gossip_node_probe.cc
@@ -0,0 +1,199 @@
+#include <algorithm>
+#include <utility>
+
+#include "gossip/gossip_node.h"
+
+namespace wagtailwind::gossip {
+
+namespace {
+
+constexpr std::size_t kIndirectProbes = 2;
+constexpr std::size_t kLoadsPerProbe = 4;
+constexpr std::chrono::seconds kNoticePeriod{1};
+
+}  // namespace
+
+std::optional<Peer> GossipNode::NextProbeTarget() {
+  // A shuffled list that is walked to its end bounds the time until each member is probed.
+  if (m_targets.empty()) {
+    m_targets = m_members.LivePeerNames();
+    for (std::size_t i = m_targets.size(); i > 1; --i) {
+      std::swap(m_targets[i - 1], m_targets[m_random.Below(i)]);
+    }
+  }
+  while (!m_targets.empty()) {
+    const InstanceName name = std::move(m_targets.back());
+    m_targets.pop_back();
+    std::optional<Peer> peer = m_members.FindPeer(name);
+    if (peer.has_value() && peer->state != MemberState::kDead) {
+      return peer;
+    }
+  }
+  return std::nullopt;
+}
+
+void GossipNode::TickProbe(SteadyTime now) {
+  if (m_probe.has_value() && now >= m_probe->sent_at + m_settings.probe_failure) {
+    FailProbe(now);
+    m_probe.reset();
+  } else if (m_probe.has_value() && !m_probe->indirect &&
+             now >= m_probe->sent_at + m_settings.probe_timeout) {
+    RequestIndirectProbes(now);
+  }
+  if (now >= m_next_probe) {
+    m_next_probe = std::max(m_next_probe + m_settings.probe_period, now);
+    StartProbe(now);
+  }
+}
+
+void GossipNode::StartProbe(SteadyTime now) {
+  const std::optional<Peer> target = NextProbeTarget();
+  if (!target.has_value()) {
+    return;
+  }
+  m_probe = Probe{*target, ++m_sequence, now, false};
+  Datagram probe = Prepare(DatagramKind::kProbe);
+  probe.sequence = m_probe->sequence;
+  if (target->state != MemberState::kAlive) {
+    probe.statuses.push_back(
+        {MemberKey(target->instance, target->incarnation), target->state, target->state_number});
+  }
+  Fill(probe, *target, kLoadsPerProbe);
+  Send(probe, target->gossip_address, now);
+}
+
+void GossipNode::RequestIndirectProbes(SteadyTime now) {
+  m_probe->indirect = true;
+  for (std::size_t i = 0; i < kIndirectProbes; ++i) {
+    // One helper in the own zone and one outside: a cut between two zones then does not hide a
+    // member that others reach.
+    const std::optional<Peer> helper = PushTarget(i == 0 ? 1.0 : 0.0);
+    if (helper.has_value() && helper->instance != m_probe->target.instance) {
+      Datagram request = Prepare(DatagramKind::kProbeRequest);
+      request.sequence = m_probe->sequence;
+      request.target = m_probe->target.instance;
+      Send(request, helper->gossip_address, now);
+    }
+  }
+}
+
+void GossipNode::FailProbe(SteadyTime now) {
+  m_metrics.probe_failures.Add();
+  const std::optional<Peer> peer = m_members.FindPeer(m_probe->target.instance);
+  if (!peer.has_value() || peer->incarnation != m_probe->target.incarnation ||
+      peer->state == MemberState::kDead || peer->state_number != m_probe->target.state_number) {
+    return;
+  }
+  const std::uint64_t key = MemberKey(peer->instance, peer->incarnation);
+  if (peer->state == MemberState::kAlive) {
+    const auto change = m_members.MergeState(key, MemberState::kSuspect, peer->state_number);
+    if (change.has_value()) {
+      OnChange(*change, now);
+    }
+  }
+  Suspicion& suspicion = m_suspicions[peer->instance];
+  const SteadyTime deadline = now + m_settings.suspicion;
+  const bool heard = suspicion.member_key == key && suspicion.state_number == peer->state_number;
+  if (heard && suspicion.own) {
+    return;
+  }
+  suspicion = {key, peer->state_number, heard ? std::min(deadline, suspicion.deadline) : deadline,
+               true, now + kNoticePeriod};
+  TellSuspect(peer->instance, now);
+}
+
+void GossipNode::TellSuspect(const InstanceName& instance, SteadyTime now) {
+  const std::optional<Peer> peer = m_members.FindPeer(instance);
+  if (!peer.has_value()) {
+    return;
+  }
+  Datagram notice = Prepare(DatagramKind::kPush);
+  notice.statuses.push_back(
+      {MemberKey(peer->instance, peer->incarnation), MemberState::kSuspect, peer->state_number});
+  // The member answers with its record, which ends the suspicion even of a leaving member.
+  notice.introduce = true;
+  Send(notice, peer->gossip_address, now);
+}
+
+void GossipNode::TickSuspicions(SteadyTime now) {
+  std::vector<std::pair<std::uint64_t, std::uint32_t>> expired;
+  std::vector<InstanceName> notices;
+  absl::erase_if(m_suspicions, [&](auto& entry) {
+    Suspicion& suspicion = entry.second;
+    if (now >= suspicion.deadline) {
+      expired.emplace_back(suspicion.member_key, suspicion.state_number);
+      return true;
+    }
+    if (suspicion.own && now >= suspicion.next_notice) {
+      suspicion.next_notice = now + kNoticePeriod;
+      notices.push_back(entry.first);
+    }
+    return false;
+  });
+  for (const InstanceName& instance : notices) {
+    TellSuspect(instance, now);
+  }
+  for (const auto& [key, number] : expired) {
+    const auto change = m_members.MergeState(key, MemberState::kDead, number);
+    if (change.has_value()) {
+      OnChange(*change, now);
+    }
+  }
+}
+
+void GossipNode::HandleProbe(const Datagram& datagram, std::string_view address,
+                             const std::optional<Peer>& peer, SteadyTime now) {
+  if (datagram.kind != DatagramKind::kProbe) {
+    return;
+  }
+  Datagram reply = Prepare(DatagramKind::kAcknowledgement);
+  reply.sequence = datagram.sequence;
+  if (peer.has_value()) {
+    if (peer->state != MemberState::kAlive) {
+      reply.statuses.push_back(
+          {MemberKey(peer->instance, peer->incarnation), peer->state, peer->state_number});
+    }
+    Fill(reply, *peer, kLoadsPerProbe);
+  }
+  Send(reply, address, now);
+}
+
+void GossipNode::HandleAcknowledgement(const Datagram& datagram, SteadyTime now) {
+  if (datagram.kind != DatagramKind::kAcknowledgement) {
+    return;
+  }
+  if (m_probe.has_value() && datagram.sequence == m_probe->sequence) {
+    const auto suspicion = m_suspicions.find(m_probe->target.instance);
+    // A leaving member is never shown as suspect, so its answer is all that can clear it.
+    if (suspicion != m_suspicions.end() && m_probe->target.state == MemberState::kLeaving) {
+      m_suspicions.erase(suspicion);
+    }
+    m_probe.reset();
+    return;
+  }
+  const auto relay = m_relays.find(datagram.sequence);
+  if (relay == m_relays.end()) {
+    return;
+  }
+  Datagram reply = Prepare(DatagramKind::kAcknowledgement);
+  reply.sequence = relay->second.requester_sequence;
+  Send(reply, relay->second.requester_address, now);
+  m_relays.erase(relay);
+}
+
+void GossipNode::HandleProbeRequest(const Datagram& datagram, const Peer& peer, SteadyTime now) {
+  if (datagram.kind != DatagramKind::kProbeRequest) {
+    return;
+  }
+  const std::optional<Peer> target = m_members.FindPeer(datagram.target);
+  if (!target.has_value()) {
+    return;
+  }
+  Datagram probe = Prepare(DatagramKind::kProbe);
+  probe.sequence = ++m_sequence;
+  m_relays[probe.sequence] = {peer.gossip_address, datagram.sequence,
+                              now + m_settings.probe_period};
+  Send(probe, target->gossip_address, now);
+}
+
+}  // namespace wagtailwind::gossip
--- /dev/null
+++ b/src/gossip/gossip_node_send.cc
@@ -0,0 +1,174 @@
+#include <algorithm>
+#include <utility>
+
+#include "gossip/gossip_node.h"
+
+namespace wagtailwind::gossip {
+
+namespace {
+
+constexpr double kDigestOwnZoneShare = 0.9;
+constexpr std::size_t kPoolsPerDatagram = 3;
+
+// Packed sizes, rounded up; Send() checks the real size.
+constexpr std::size_t kBaseBytes = 160;
+constexpr std::size_t kStatusBytes = 22;
+constexpr std::size_t kLoadBytes = 9;
+constexpr std::size_t kPoolBytes = 38;
+constexpr std::size_t kRecordBytes = 110;
+
+// Below this budget loads are reported less often; below the second one only probes, answers and
+// changes are sent.
+constexpr double kLowBudget = 16 * 1024;
+constexpr double kMinPushBudget = 4 * 1024;
+
+// What pushes leave over, so that probes and their answers are not held back, which would look like
+// a failure of this process.
+constexpr double kProbeReserve = 2 * 1024;
+
+// With this many changes that were hardly sent yet, as after the loss of a zone, an extra push goes
+// out with each tick.
+constexpr std::size_t kBacklog = 16;
+constexpr std::uint32_t kHardlySent = 3;
+
+std::size_t RecordBytes(const Member& member) noexcept {
+  std::size_t bytes = kRecordBytes + member.instance.value().size() + member.zone.value().size() +
+                      member.region.value().size() + member.rpc_address.size() +
+                      member.gossip_address.size();
+  if (member.endpoint.has_value()) {
+    bytes += 40 + member.endpoint->endpoint.value().size() + member.endpoint->pool.value().size();
+    for (const ModelName& model : member.endpoint->models) {
+      bytes += 20 + model.value().size();
+    }
+  }
+  return bytes;
+}
+
+template <typename Element>
+bool HalveList(std::vector<Element>& list) {
+  if (list.empty()) {
+    return false;
+  }
+  list.resize(list.size() / 2);
+  return true;
+}
+
+// Drops what matters least; false if nothing is left to drop.
+bool Shrink(Datagram& datagram) {
+  if (HalveList(datagram.loads) || HalveList(datagram.pools) || HalveList(datagram.statuses) ||
+      HalveList(datagram.members)) {
+    return true;
+  }
+  if (datagram.change.empty()) {
+    return false;
+  }
+  datagram.change.clear();
+  datagram.pull_configuration = true;
+  return true;
+}
+
+}  // namespace
+
+std::optional<Peer> GossipNode::PushTarget(double own_zone_share) {
+  const bool own_zone = m_random.Fraction() < own_zone_share;
+  const PeerGroup first = own_zone ? PeerGroup::kOwnZone : PeerGroup::kOtherZones;
+  const PeerGroup second = own_zone ? PeerGroup::kOtherZones : PeerGroup::kOwnZone;
+  std::optional<Peer> peer = m_members.RandomPeer(first, m_random);
+  return peer.has_value() ? peer : m_members.RandomPeer(second, m_random);
+}
+
+void GossipNode::TickPush(SteadyTime now) {
+  const bool backlog =
+      m_changes.CountBelow(kHardlySent) >= kBacklog && m_budget.Level(now) > kLowBudget;
+  if (now >= m_next_push) {
+    m_next_push = std::max(m_next_push + m_settings.push_period, now);
+    if (m_budget.Level(now) < kMinPushBudget) {
+      return;
+    }
+  } else if (!backlog) {
+    return;
+  }
+  const std::optional<Peer> peer = PushTarget(kDigestOwnZoneShare);
+  if (peer.has_value()) {
+    PushTo(*peer, now);
+  }
+}
+
+void GossipNode::PushTo(const Peer& peer, SteadyTime now) {
+  Datagram push = Prepare(DatagramKind::kPush);
+  const bool low = m_budget.Level(now) < kLowBudget;
+  Fill(push, peer, low ? m_settings.loads_per_push / 4 : m_settings.loads_per_push);
+  Send(push, peer.gossip_address, now);
+}
+
+Datagram GossipNode::Prepare(DatagramKind kind) const {
+  Datagram datagram;
+  datagram.sender = m_self;
+  datagram.sender_incarnation = m_incarnation;
+  datagram.kind = kind;
+  datagram.configuration = m_configuration.Digest();
+  datagram.membership_digest = m_members.Digest();
+  return datagram;
+}
+
+void GossipNode::AddOwnRecord(Datagram& datagram) const {
+  datagram.members.push_back(m_members.Self());
+}
+
+void GossipNode::FillChanges(Datagram& datagram, std::size_t& room) {
+  constexpr std::size_t kMaxItems = 48;
+  const std::uint32_t limit = TransmissionLimit(m_members.CountOf(PeerGroup::kOwnZone) +
+                                                m_members.CountOf(PeerGroup::kOtherZones));
+  const std::size_t count = std::min(kMaxItems, room / kStatusBytes);
+  for (const ChangeQueue::Item& item : m_changes.Next(count, limit)) {
+    const std::optional<Member> member = m_members.Find(item.instance);
+    if (!member.has_value()) {
+      continue;
+    }
+    const std::size_t bytes = item.full ? RecordBytes(*member) : kStatusBytes;
+    if (bytes > room) {
+      break;
+    }
+    room -= bytes;
+    if (item.full) {
+      datagram.members.push_back(*member);
+    } else {
+      datagram.statuses.push_back(
+          {MemberKey(member->instance, member->incarnation), member->state, member->state_number});
+    }
+  }
+}
+
+void GossipNode::Fill(Datagram& datagram, const Peer& peer, std::size_t max_loads) {
+  std::size_t room = kMaxDatagramBytes - kBaseBytes;
+  FillChanges(datagram, room);
+  if (peer.own_zone) {
+    datagram.loads = m_loads.NextLoads(std::min(max_loads, room / kLoadBytes));
+    room -= datagram.loads.size() * kLoadBytes;
+    datagram.pools = m_loads.NextPools(std::min(kPoolsPerDatagram, room / kPoolBytes));
+    return;
+  }
+  if (datagram.kind != DatagramKind::kPush) {
+    // Probes between zones are frequent enough to double the traffic with summaries.
+    return;
+  }
+  datagram.pools = m_loads.OwnPools();
+  datagram.pools.resize(std::min(datagram.pools.size(), room / kPoolBytes));
+}
+
+void GossipNode::Send(Datagram& datagram, std::string_view address, SteadyTime now) {
+  std::string bytes = EncodeDatagram(datagram);
+  while (bytes.size() > kMaxDatagramBytes && Shrink(datagram)) {
+    bytes = EncodeDatagram(datagram);
+  }
+  const bool reserved = datagram.kind == DatagramKind::kPush && m_budget.Level(now) < kProbeReserve;
+  if (reserved || bytes.size() > kMaxDatagramBytes ||
+      !m_budget.TrySpend(bytes.size() + kHeaderBytes, now)) {
+    m_metrics.over_budget.Add();
+    return;
+  }
+  m_metrics.CountSent(datagram.kind, bytes.size());
+  m_transport.Send(address, std::as_bytes(std::span(bytes)));
+}
+
+}  // namespace wagtailwind::gossip
--- a/src/rpc/wagtailwind.capnp
+++ b/src/rpc/wagtailwind.capnp
@@ -168,6 +168,13 @@
   ageMs @4 :UInt16;
 }
 
+struct MemberStatus {
+  memberKey @0 :UInt64;
+  # StableHash of the instance's name, seeded with the incarnation.
+  state @1 :UInt8;
+  stateNumber @2 :UInt32;
+}
+
 struct GossipDatagram {
   sender @0 :Text;
   senderIncarnation @1 :UInt64;
@@ -187,7 +194,16 @@
   loads @10 :List(LoadRecord);
   pools @11 :List(PoolSummary);
   membershipDigest @12 :UInt64;
-  # Hash over (instance, incarnation, state) of all members that the sender knows.
+  # Hash over (instance, incarnation, leaving or not) of all members that the sender holds not dead.
+  statuses @13 :List(MemberStatus);
+  # State changes of members that the receiver is expected to know.
+  pullConfiguration @14 :Bool;
+  # The sender has a newer configuration, but no change that fits: pull the document.
+  introduce @15 :Bool;
+  # Asks the receiver for its own member record.
+  loadWords @16 :List(UInt64);
+  # Loads of the zone, one a word, in place of `loads`: lower 32 bits of StableHash of the endpoint's
+  # name, then 16 bits of work tokens as a float (exponent 5, mantissa 11), then the age in ms.
 }
 
 interface PeerService {
--- a/src/rpc/wagtailwind.capnp.h
+++ b/src/rpc/wagtailwind.capnp.h
@@ -10,17 +10,17 @@
 #endif  // !CAPNP_LITE
 
 #if CAPNP_VERSION != 9002
-#error \
-    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
+
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(c9aa3538826e0b7c);
-enum class Outcome_c9aa3538826e0b7c : uint16_t {
+enum class Outcome_c9aa3538826e0b7c: uint16_t {
   RESULT,
   NOT_RUN,
   UNKNOWN,
@@ -56,6 +56,7 @@
 CAPNP_DECLARE_SCHEMA(8107c1c72a1d2f25);
 CAPNP_DECLARE_SCHEMA(cedfb84439809f07);
 CAPNP_DECLARE_SCHEMA(cb842a2e8ef6a1ed);
+CAPNP_DECLARE_SCHEMA(ac914db82d65cfc0);
 CAPNP_DECLARE_SCHEMA(ab109a036a6b8cdb);
 CAPNP_DECLARE_SCHEMA(e0e7dd63e7d646bc);
 CAPNP_DECLARE_SCHEMA(d92975bed3b31e9b);
@@ -87,9 +88,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c66dea0cd656a47f, 0, 2)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -102,9 +103,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(bca5ece0aed3e874, 3, 4)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -117,9 +118,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c229e55f3f58f283, 1, 5)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -129,16 +130,16 @@
   class Reader;
   class Builder;
   class Pipeline;
-  enum Which : uint16_t {
+  enum Which: uint16_t {
     CHAT,
     SERVICE,
   };
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(bd72301fd734de79, 5, 5)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -148,16 +149,16 @@
   class Reader;
   class Builder;
   class Pipeline;
-  enum Which : uint16_t {
+  enum Which: uint16_t {
     ADMITTED,
     REFUSED,
   };
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c8d9378409e679b1, 2, 2)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -170,9 +171,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(adb6d3fdff65a840, 1, 1)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -185,9 +186,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(f60fe5b4216bfedc, 1, 1)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -200,9 +201,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(ee22f259213dc69b, 2, 0)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -220,12 +221,12 @@
   struct EndParams;
   struct EndResults;
 
-#if !CAPNP_LITE
+  #if !CAPNP_LITE
   struct _capnpPrivate {
     CAPNP_DECLARE_INTERFACE_HEADER(aaad7db66ad68b9c)
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
   };
-#endif  // !CAPNP_LITE
+  #endif  // !CAPNP_LITE
 };
 
 struct AnswerSink::HeadParams {
@@ -237,9 +238,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(fe32943c3f675a9b, 1, 2)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -252,9 +253,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b108fea959c97d23, 0, 0)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -267,9 +268,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(e395c2efc1e511a8, 1, 1)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -282,9 +283,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c7b36c5202a1985f, 0, 1)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -297,9 +298,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(f95cfa347b9b44bf, 0, 0)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -314,12 +315,12 @@
   struct CancelParams;
   struct CancelResults;
 
-#if !CAPNP_LITE
+  #if !CAPNP_LITE
   struct _capnpPrivate {
     CAPNP_DECLARE_INTERFACE_HEADER(f7ce545696ecaf4f)
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
   };
-#endif  // !CAPNP_LITE
+  #endif  // !CAPNP_LITE
 };
 
 struct CallHandle::CancelParams {
@@ -331,9 +332,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b3756aa74b0bd3b1, 0, 0)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -346,9 +347,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(bc744346dc0294bb, 0, 0)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -361,9 +362,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b755ac717e548722, 0, 3)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -382,12 +383,12 @@
   struct ChatMovedParams;
   struct ChatMovedResults;
 
-#if !CAPNP_LITE
+  #if !CAPNP_LITE
   struct _capnpPrivate {
     CAPNP_DECLARE_INTERFACE_HEADER(d9608f0aa8b50c83)
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
   };
-#endif  // !CAPNP_LITE
+  #endif  // !CAPNP_LITE
 };
 
 struct AgentService::ExecuteParams {
@@ -399,9 +400,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c804239c9a1e2a88, 0, 2)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -414,9 +415,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(fb0e531dbfc40c80, 0, 2)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -429,9 +430,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c5f933c5b92e1ef7, 1, 3)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -444,9 +445,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(88e6703a018a8c1d, 1, 1)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -459,9 +460,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(89d8406658fd8a1a, 0, 1)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -474,9 +475,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b08474a8f06eb618, 0, 0)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -489,9 +490,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b1529a5b492cf12d, 2, 6)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -504,9 +505,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(e80f40012dfae026, 1, 3)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -519,9 +520,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(8107c1c72a1d2f25, 2, 0)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -534,9 +535,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(cedfb84439809f07, 2, 0)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -549,9 +550,24 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(cb842a2e8ef6a1ed, 5, 0)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct MemberStatus {
+  MemberStatus() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ac914db82d65cfc0, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -564,10 +580,10 @@
   struct Kind;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ab109a036a6b8cdb, 3, 7)
-#if !CAPNP_LITE
+    CAPNP_DECLARE_STRUCT_HEADER(ab109a036a6b8cdb, 3, 9)
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -577,7 +593,7 @@
   class Reader;
   class Builder;
   class Pipeline;
-  enum Which : uint16_t {
+  enum Which: uint16_t {
     PROBE,
     ACKNOWLEDGEMENT,
     PROBE_REQUEST,
@@ -585,10 +601,10 @@
   };
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e0e7dd63e7d646bc, 3, 7)
-#if !CAPNP_LITE
+    CAPNP_DECLARE_STRUCT_HEADER(e0e7dd63e7d646bc, 3, 9)
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -605,12 +621,12 @@
   struct ConfigurationParams;
   struct ConfigurationResults;
 
-#if !CAPNP_LITE
+  #if !CAPNP_LITE
   struct _capnpPrivate {
     CAPNP_DECLARE_INTERFACE_HEADER(d92975bed3b31e9b)
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
   };
-#endif  // !CAPNP_LITE
+  #endif  // !CAPNP_LITE
 };
 
 struct PeerService::MembersParams {
@@ -622,9 +638,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c89c168c47d27107, 0, 0)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -637,9 +653,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(cb8af9080887b0fc, 0, 1)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -652,9 +668,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(d7b10129bce5391b, 1, 0)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -667,9 +683,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(9e3bfbdb37748872, 2, 1)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -686,12 +702,12 @@
   struct PeerParams;
   struct PeerResults;
 
-#if !CAPNP_LITE
+  #if !CAPNP_LITE
   struct _capnpPrivate {
     CAPNP_DECLARE_INTERFACE_HEADER(bab3a35ef4c9c766)
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
   };
-#endif  // !CAPNP_LITE
+  #endif  // !CAPNP_LITE
 };
 
 struct Bootstrap::AgentParams {
@@ -703,9 +719,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(db3a930d16d89f06, 0, 0)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -718,9 +734,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a1744f4a13479f63, 0, 1)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -733,9 +749,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c89ae28f69127448, 0, 0)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -748,22 +764,24 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a23180e0748f7692, 0, 1)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
 // =======================================================================================
 
 class Header::Reader {
- public:
+public:
   typedef Header Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -772,12 +790,12 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasName() const;
-  inline ::capnp::Text::Reader getName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
   inline bool hasValue() const;
-  inline ::capnp::Text::Reader getValue() const;
+  inline  ::capnp::Text::Reader getValue() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -790,13 +808,13 @@
 };
 
 class Header::Builder {
- public:
+public:
   typedef Header Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -806,20 +824,20 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasName();
-  inline ::capnp::Text::Builder getName();
-  inline void setName(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
   inline bool hasValue();
-  inline ::capnp::Text::Builder getValue();
-  inline void setValue(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initValue(unsigned int size);
-  inline void adoptValue(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownValue();
+  inline  ::capnp::Text::Builder getValue();
+  inline void setValue( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownValue();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -830,14 +848,14 @@
 
 #if !CAPNP_LITE
 class Header::Pipeline {
- public:
+public:
   typedef Header Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -846,13 +864,15 @@
 #endif  // !CAPNP_LITE
 
 class ChatCall::Reader {
- public:
+public:
   typedef ChatCall Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -861,28 +881,28 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasModel() const;
-  inline ::capnp::Text::Reader getModel() const;
+  inline  ::capnp::Text::Reader getModel() const;
 
   inline bool hasAdapter() const;
-  inline ::capnp::Text::Reader getAdapter() const;
+  inline  ::capnp::Text::Reader getAdapter() const;
 
   inline bool hasChat() const;
-  inline ::capnp::Text::Reader getChat() const;
+  inline  ::capnp::Text::Reader getChat() const;
 
   inline bool hasBody() const;
-  inline ::capnp::Data::Reader getBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
 
   inline bool getStream() const;
 
-  inline ::uint32_t getPromptTokens() const;
+  inline  ::uint32_t getPromptTokens() const;
 
-  inline ::uint32_t getMaxOutputTokens() const;
+  inline  ::uint32_t getMaxOutputTokens() const;
 
-  inline ::uint64_t getPrefixHash() const;
+  inline  ::uint64_t getPrefixHash() const;
 
   inline bool getLastResort() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -895,13 +915,13 @@
 };
 
 class ChatCall::Builder {
- public:
+public:
   typedef ChatCall Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -911,49 +931,49 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasModel();
-  inline ::capnp::Text::Builder getModel();
-  inline void setModel(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initModel(unsigned int size);
-  inline void adoptModel(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownModel();
+  inline  ::capnp::Text::Builder getModel();
+  inline void setModel( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initModel(unsigned int size);
+  inline void adoptModel(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownModel();
 
   inline bool hasAdapter();
-  inline ::capnp::Text::Builder getAdapter();
-  inline void setAdapter(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initAdapter(unsigned int size);
-  inline void adoptAdapter(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownAdapter();
+  inline  ::capnp::Text::Builder getAdapter();
+  inline void setAdapter( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAdapter(unsigned int size);
+  inline void adoptAdapter(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAdapter();
 
   inline bool hasChat();
-  inline ::capnp::Text::Builder getChat();
-  inline void setChat(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initChat(unsigned int size);
-  inline void adoptChat(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownChat();
+  inline  ::capnp::Text::Builder getChat();
+  inline void setChat( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initChat(unsigned int size);
+  inline void adoptChat(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownChat();
 
   inline bool hasBody();
-  inline ::capnp::Data::Builder getBody();
-  inline void setBody(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
   inline bool getStream();
   inline void setStream(bool value);
 
-  inline ::uint32_t getPromptTokens();
-  inline void setPromptTokens(::uint32_t value);
+  inline  ::uint32_t getPromptTokens();
+  inline void setPromptTokens( ::uint32_t value);
 
-  inline ::uint32_t getMaxOutputTokens();
-  inline void setMaxOutputTokens(::uint32_t value);
+  inline  ::uint32_t getMaxOutputTokens();
+  inline void setMaxOutputTokens( ::uint32_t value);
 
-  inline ::uint64_t getPrefixHash();
-  inline void setPrefixHash(::uint64_t value);
+  inline  ::uint64_t getPrefixHash();
+  inline void setPrefixHash( ::uint64_t value);
 
   inline bool getLastResort();
   inline void setLastResort(bool value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -964,14 +984,14 @@
 
 #if !CAPNP_LITE
 class ChatCall::Pipeline {
- public:
+public:
   typedef ChatCall Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -980,13 +1000,15 @@
 #endif  // !CAPNP_LITE
 
 class ServiceCall::Reader {
- public:
+public:
   typedef ServiceCall Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -995,24 +1017,23 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasService() const;
-  inline ::capnp::Text::Reader getService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
   inline bool hasMethod() const;
-  inline ::capnp::Text::Reader getMethod() const;
+  inline  ::capnp::Text::Reader getMethod() const;
 
   inline bool hasPath() const;
-  inline ::capnp::Text::Reader getPath() const;
+  inline  ::capnp::Text::Reader getPath() const;
 
   inline bool hasHeaders() const;
-  inline ::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>::Reader
-  getHeaders() const;
+  inline  ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
 
   inline bool hasBody() const;
-  inline ::capnp::Data::Reader getBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
 
   inline bool getRepeatable() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1025,13 +1046,13 @@
 };
 
 class ServiceCall::Builder {
- public:
+public:
   typedef ServiceCall Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1041,50 +1062,44 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasService();
-  inline ::capnp::Text::Builder getService();
-  inline void setService(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
   inline bool hasMethod();
-  inline ::capnp::Text::Builder getMethod();
-  inline void setMethod(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initMethod(unsigned int size);
-  inline void adoptMethod(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownMethod();
+  inline  ::capnp::Text::Builder getMethod();
+  inline void setMethod( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initMethod(unsigned int size);
+  inline void adoptMethod(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownMethod();
 
   inline bool hasPath();
-  inline ::capnp::Text::Builder getPath();
-  inline void setPath(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initPath(unsigned int size);
-  inline void adoptPath(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownPath();
+  inline  ::capnp::Text::Builder getPath();
+  inline void setPath( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPath(unsigned int size);
+  inline void adoptPath(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPath();
 
   inline bool hasHeaders();
-  inline ::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>::Builder
-  getHeaders();
-  inline void setHeaders(
-      ::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>::Builder
-  initHeaders(unsigned int size);
-  inline void adoptHeaders(
-      ::capnp::Orphan<::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>>&&
-          value);
-  inline ::capnp::Orphan<::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>>
-  disownHeaders();
+  inline  ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Builder getHeaders();
+  inline void setHeaders( ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Builder initHeaders(unsigned int size);
+  inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
 
   inline bool hasBody();
-  inline ::capnp::Data::Builder getBody();
-  inline void setBody(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
   inline bool getRepeatable();
   inline void setRepeatable(bool value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1095,14 +1110,14 @@
 
 #if !CAPNP_LITE
 class ServiceCall::Pipeline {
- public:
+public:
   typedef ServiceCall Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1111,13 +1126,15 @@
 #endif  // !CAPNP_LITE
 
 class Call::Reader {
- public:
+public:
   typedef Call Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1127,36 +1144,36 @@
 
   inline Which which() const;
   inline bool hasRequestId() const;
-  inline ::capnp::Data::Reader getRequestId() const;
+  inline  ::capnp::Data::Reader getRequestId() const;
 
-  inline ::uint32_t getAttempt() const;
+  inline  ::uint32_t getAttempt() const;
 
-  inline ::uint64_t getRouterIncarnation() const;
+  inline  ::uint64_t getRouterIncarnation() const;
 
-  inline ::uint64_t getAgentIncarnation() const;
+  inline  ::uint64_t getAgentIncarnation() const;
 
   inline bool hasOrganisation() const;
-  inline ::capnp::Text::Reader getOrganisation() const;
+  inline  ::capnp::Text::Reader getOrganisation() const;
 
   inline bool hasPriorityClass() const;
-  inline ::capnp::Text::Reader getPriorityClass() const;
+  inline  ::capnp::Text::Reader getPriorityClass() const;
 
-  inline ::uint32_t getDeadlineMs() const;
+  inline  ::uint32_t getDeadlineMs() const;
 
   inline bool hasRequestKey() const;
-  inline ::capnp::Text::Reader getRequestKey() const;
+  inline  ::capnp::Text::Reader getRequestKey() const;
 
-  inline ::uint64_t getConfigurationVersion() const;
+  inline  ::uint64_t getConfigurationVersion() const;
 
   inline bool isChat() const;
   inline bool hasChat() const;
-  inline ::wagtailwind::rpc::schema::ChatCall::Reader getChat() const;
+  inline  ::wagtailwind::rpc::schema::ChatCall::Reader getChat() const;
 
   inline bool isService() const;
   inline bool hasService() const;
-  inline ::wagtailwind::rpc::schema::ServiceCall::Reader getService() const;
+  inline  ::wagtailwind::rpc::schema::ServiceCall::Reader getService() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1169,13 +1186,13 @@
 };
 
 class Call::Builder {
- public:
+public:
   typedef Call Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1186,65 +1203,65 @@
 
   inline Which which();
   inline bool hasRequestId();
-  inline ::capnp::Data::Builder getRequestId();
-  inline void setRequestId(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initRequestId(unsigned int size);
-  inline void adoptRequestId(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownRequestId();
+  inline  ::capnp::Data::Builder getRequestId();
+  inline void setRequestId( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initRequestId(unsigned int size);
+  inline void adoptRequestId(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownRequestId();
 
-  inline ::uint32_t getAttempt();
-  inline void setAttempt(::uint32_t value);
+  inline  ::uint32_t getAttempt();
+  inline void setAttempt( ::uint32_t value);
 
-  inline ::uint64_t getRouterIncarnation();
-  inline void setRouterIncarnation(::uint64_t value);
+  inline  ::uint64_t getRouterIncarnation();
+  inline void setRouterIncarnation( ::uint64_t value);
 
-  inline ::uint64_t getAgentIncarnation();
-  inline void setAgentIncarnation(::uint64_t value);
+  inline  ::uint64_t getAgentIncarnation();
+  inline void setAgentIncarnation( ::uint64_t value);
 
   inline bool hasOrganisation();
-  inline ::capnp::Text::Builder getOrganisation();
-  inline void setOrganisation(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initOrganisation(unsigned int size);
-  inline void adoptOrganisation(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownOrganisation();
+  inline  ::capnp::Text::Builder getOrganisation();
+  inline void setOrganisation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOrganisation(unsigned int size);
+  inline void adoptOrganisation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOrganisation();
 
   inline bool hasPriorityClass();
-  inline ::capnp::Text::Builder getPriorityClass();
-  inline void setPriorityClass(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initPriorityClass(unsigned int size);
-  inline void adoptPriorityClass(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownPriorityClass();
+  inline  ::capnp::Text::Builder getPriorityClass();
+  inline void setPriorityClass( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPriorityClass(unsigned int size);
+  inline void adoptPriorityClass(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPriorityClass();
 
-  inline ::uint32_t getDeadlineMs();
-  inline void setDeadlineMs(::uint32_t value);
+  inline  ::uint32_t getDeadlineMs();
+  inline void setDeadlineMs( ::uint32_t value);
 
   inline bool hasRequestKey();
-  inline ::capnp::Text::Builder getRequestKey();
-  inline void setRequestKey(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initRequestKey(unsigned int size);
-  inline void adoptRequestKey(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownRequestKey();
+  inline  ::capnp::Text::Builder getRequestKey();
+  inline void setRequestKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequestKey(unsigned int size);
+  inline void adoptRequestKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequestKey();
 
-  inline ::uint64_t getConfigurationVersion();
-  inline void setConfigurationVersion(::uint64_t value);
+  inline  ::uint64_t getConfigurationVersion();
+  inline void setConfigurationVersion( ::uint64_t value);
 
   inline bool isChat();
   inline bool hasChat();
-  inline ::wagtailwind::rpc::schema::ChatCall::Builder getChat();
-  inline void setChat(::wagtailwind::rpc::schema::ChatCall::Reader value);
-  inline ::wagtailwind::rpc::schema::ChatCall::Builder initChat();
-  inline void adoptChat(::capnp::Orphan<::wagtailwind::rpc::schema::ChatCall>&& value);
-  inline ::capnp::Orphan<::wagtailwind::rpc::schema::ChatCall> disownChat();
+  inline  ::wagtailwind::rpc::schema::ChatCall::Builder getChat();
+  inline void setChat( ::wagtailwind::rpc::schema::ChatCall::Reader value);
+  inline  ::wagtailwind::rpc::schema::ChatCall::Builder initChat();
+  inline void adoptChat(::capnp::Orphan< ::wagtailwind::rpc::schema::ChatCall>&& value);
+  inline ::capnp::Orphan< ::wagtailwind::rpc::schema::ChatCall> disownChat();
 
   inline bool isService();
   inline bool hasService();
-  inline ::wagtailwind::rpc::schema::ServiceCall::Builder getService();
-  inline void setService(::wagtailwind::rpc::schema::ServiceCall::Reader value);
-  inline ::wagtailwind::rpc::schema::ServiceCall::Builder initService();
-  inline void adoptService(::capnp::Orphan<::wagtailwind::rpc::schema::ServiceCall>&& value);
-  inline ::capnp::Orphan<::wagtailwind::rpc::schema::ServiceCall> disownService();
+  inline  ::wagtailwind::rpc::schema::ServiceCall::Builder getService();
+  inline void setService( ::wagtailwind::rpc::schema::ServiceCall::Reader value);
+  inline  ::wagtailwind::rpc::schema::ServiceCall::Builder initService();
+  inline void adoptService(::capnp::Orphan< ::wagtailwind::rpc::schema::ServiceCall>&& value);
+  inline ::capnp::Orphan< ::wagtailwind::rpc::schema::ServiceCall> disownService();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1255,14 +1272,14 @@
 
 #if !CAPNP_LITE
 class Call::Pipeline {
- public:
+public:
   typedef Call Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1271,13 +1288,15 @@
 #endif  // !CAPNP_LITE
 
 class Admission::Reader {
- public:
+public:
   typedef Admission Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1287,21 +1306,21 @@
 
   inline Which which() const;
   inline bool hasRequestId() const;
-  inline ::capnp::Data::Reader getRequestId() const;
+  inline  ::capnp::Data::Reader getRequestId() const;
 
-  inline ::uint32_t getAttempt() const;
+  inline  ::uint32_t getAttempt() const;
 
-  inline ::uint64_t getAgentIncarnation() const;
+  inline  ::uint64_t getAgentIncarnation() const;
 
   inline bool isAdmitted() const;
   inline bool hasAdmitted() const;
-  inline ::capnp::Text::Reader getAdmitted() const;
+  inline  ::capnp::Text::Reader getAdmitted() const;
 
   inline bool isRefused() const;
   inline bool hasRefused() const;
-  inline ::wagtailwind::rpc::schema::Refusal::Reader getRefused() const;
+  inline  ::wagtailwind::rpc::schema::Refusal::Reader getRefused() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1314,13 +1333,13 @@
 };
 
 class Admission::Builder {
- public:
+public:
   typedef Admission Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1331,35 +1350,35 @@
 
   inline Which which();
   inline bool hasRequestId();
-  inline ::capnp::Data::Builder getRequestId();
-  inline void setRequestId(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initRequestId(unsigned int size);
-  inline void adoptRequestId(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownRequestId();
+  inline  ::capnp::Data::Builder getRequestId();
+  inline void setRequestId( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initRequestId(unsigned int size);
+  inline void adoptRequestId(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownRequestId();
 
-  inline ::uint32_t getAttempt();
-  inline void setAttempt(::uint32_t value);
+  inline  ::uint32_t getAttempt();
+  inline void setAttempt( ::uint32_t value);
 
-  inline ::uint64_t getAgentIncarnation();
-  inline void setAgentIncarnation(::uint64_t value);
+  inline  ::uint64_t getAgentIncarnation();
+  inline void setAgentIncarnation( ::uint64_t value);
 
   inline bool isAdmitted();
   inline bool hasAdmitted();
-  inline ::capnp::Text::Builder getAdmitted();
-  inline void setAdmitted(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initAdmitted(unsigned int size);
-  inline void adoptAdmitted(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownAdmitted();
+  inline  ::capnp::Text::Builder getAdmitted();
+  inline void setAdmitted( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAdmitted(unsigned int size);
+  inline void adoptAdmitted(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAdmitted();
 
   inline bool isRefused();
   inline bool hasRefused();
-  inline ::wagtailwind::rpc::schema::Refusal::Builder getRefused();
-  inline void setRefused(::wagtailwind::rpc::schema::Refusal::Reader value);
-  inline ::wagtailwind::rpc::schema::Refusal::Builder initRefused();
-  inline void adoptRefused(::capnp::Orphan<::wagtailwind::rpc::schema::Refusal>&& value);
-  inline ::capnp::Orphan<::wagtailwind::rpc::schema::Refusal> disownRefused();
+  inline  ::wagtailwind::rpc::schema::Refusal::Builder getRefused();
+  inline void setRefused( ::wagtailwind::rpc::schema::Refusal::Reader value);
+  inline  ::wagtailwind::rpc::schema::Refusal::Builder initRefused();
+  inline void adoptRefused(::capnp::Orphan< ::wagtailwind::rpc::schema::Refusal>&& value);
+  inline ::capnp::Orphan< ::wagtailwind::rpc::schema::Refusal> disownRefused();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1370,14 +1389,14 @@
 
 #if !CAPNP_LITE
 class Admission::Pipeline {
- public:
+public:
   typedef Admission Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1386,13 +1405,15 @@
 #endif  // !CAPNP_LITE
 
 class Refusal::Reader {
- public:
+public:
   typedef Refusal Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1400,16 +1421,16 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint8_t getReason() const;
+  inline  ::uint8_t getReason() const;
 
-  inline ::uint32_t getRetryAfterMs() const;
+  inline  ::uint32_t getRetryAfterMs() const;
 
   inline bool hasRedirects() const;
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getRedirects() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getRedirects() const;
 
-  inline ::wagtailwind::rpc::schema::Outcome getOutcome() const;
+  inline  ::wagtailwind::rpc::schema::Outcome getOutcome() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1422,13 +1443,13 @@
 };
 
 class Refusal::Builder {
- public:
+public:
   typedef Refusal Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1437,26 +1458,24 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint8_t getReason();
-  inline void setReason(::uint8_t value);
+  inline  ::uint8_t getReason();
+  inline void setReason( ::uint8_t value);
 
-  inline ::uint32_t getRetryAfterMs();
-  inline void setRetryAfterMs(::uint32_t value);
+  inline  ::uint32_t getRetryAfterMs();
+  inline void setRetryAfterMs( ::uint32_t value);
 
   inline bool hasRedirects();
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getRedirects();
-  inline void setRedirects(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-  inline void setRedirects(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initRedirects(
-      unsigned int size);
-  inline void adoptRedirects(
-      ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> disownRedirects();
-
-  inline ::wagtailwind::rpc::schema::Outcome getOutcome();
-  inline void setOutcome(::wagtailwind::rpc::schema::Outcome value);
-
- private:
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getRedirects();
+  inline void setRedirects( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setRedirects(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initRedirects(unsigned int size);
+  inline void adoptRedirects(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownRedirects();
+
+  inline  ::wagtailwind::rpc::schema::Outcome getOutcome();
+  inline void setOutcome( ::wagtailwind::rpc::schema::Outcome value);
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1467,14 +1486,14 @@
 
 #if !CAPNP_LITE
 class Refusal::Pipeline {
- public:
+public:
   typedef Refusal Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1483,13 +1502,15 @@
 #endif  // !CAPNP_LITE
 
 class AnswerHead::Reader {
- public:
+public:
   typedef AnswerHead Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1497,15 +1518,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint16_t getStatus() const;
+  inline  ::uint16_t getStatus() const;
 
   inline bool hasHeaders() const;
-  inline ::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>::Reader
-  getHeaders() const;
+  inline  ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
 
-  inline ::uint32_t getCachedTokens() const;
+  inline  ::uint32_t getCachedTokens() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1518,13 +1538,13 @@
 };
 
 class AnswerHead::Builder {
- public:
+public:
   typedef AnswerHead Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1533,26 +1553,20 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint16_t getStatus();
-  inline void setStatus(::uint16_t value);
+  inline  ::uint16_t getStatus();
+  inline void setStatus( ::uint16_t value);
 
   inline bool hasHeaders();
-  inline ::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>::Builder
-  getHeaders();
-  inline void setHeaders(
-      ::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>::Builder
-  initHeaders(unsigned int size);
-  inline void adoptHeaders(
-      ::capnp::Orphan<::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>>&&
-          value);
-  inline ::capnp::Orphan<::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>>
-  disownHeaders();
-
-  inline ::uint32_t getCachedTokens();
-  inline void setCachedTokens(::uint32_t value);
-
- private:
+  inline  ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Builder getHeaders();
+  inline void setHeaders( ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Builder initHeaders(unsigned int size);
+  inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
+
+  inline  ::uint32_t getCachedTokens();
+  inline void setCachedTokens( ::uint32_t value);
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1563,14 +1577,14 @@
 
 #if !CAPNP_LITE
 class AnswerHead::Pipeline {
- public:
+public:
   typedef AnswerHead Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1579,13 +1593,15 @@
 #endif  // !CAPNP_LITE
 
 class AnswerEnd::Reader {
- public:
+public:
   typedef AnswerEnd Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1595,13 +1611,13 @@
 
   inline bool getComplete() const;
 
-  inline ::wagtailwind::rpc::schema::Outcome getOutcome() const;
+  inline  ::wagtailwind::rpc::schema::Outcome getOutcome() const;
 
-  inline ::uint8_t getReason() const;
+  inline  ::uint8_t getReason() const;
 
-  inline ::uint64_t getTotalBytes() const;
+  inline  ::uint64_t getTotalBytes() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1614,13 +1630,13 @@
 };
 
 class AnswerEnd::Builder {
- public:
+public:
   typedef AnswerEnd Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1632,16 +1648,16 @@
   inline bool getComplete();
   inline void setComplete(bool value);
 
-  inline ::wagtailwind::rpc::schema::Outcome getOutcome();
-  inline void setOutcome(::wagtailwind::rpc::schema::Outcome value);
+  inline  ::wagtailwind::rpc::schema::Outcome getOutcome();
+  inline void setOutcome( ::wagtailwind::rpc::schema::Outcome value);
 
-  inline ::uint8_t getReason();
-  inline void setReason(::uint8_t value);
+  inline  ::uint8_t getReason();
+  inline void setReason( ::uint8_t value);
 
-  inline ::uint64_t getTotalBytes();
-  inline void setTotalBytes(::uint64_t value);
+  inline  ::uint64_t getTotalBytes();
+  inline void setTotalBytes( ::uint64_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1652,14 +1668,14 @@
 
 #if !CAPNP_LITE
 class AnswerEnd::Pipeline {
- public:
+public:
   typedef AnswerEnd Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1668,16 +1684,17 @@
 #endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class AnswerSink::Client : public virtual ::capnp::Capability::Client {
- public:
+class AnswerSink::Client
+    : public virtual ::capnp::Capability::Client {
+public:
   typedef AnswerSink Calls;
   typedef AnswerSink Reads;
 
   Client(decltype(nullptr));
-  explicit Client(::kj::Own<::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Server*>()>>
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
   Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Client*>()>>
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
   Client(::kj::Promise<_t>&& promise);
   Client(::kj::Exception&& exception);
   Client(Client&) = default;
@@ -1685,58 +1702,61 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request<::wagtailwind::rpc::schema::AnswerSink::HeadParams,
-                   ::wagtailwind::rpc::schema::AnswerSink::HeadResults>
-  headRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::StreamingRequest<::wagtailwind::rpc::schema::AnswerSink::ChunkParams> chunkRequest(
-      ::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::wagtailwind::rpc::schema::AnswerSink::EndParams,
-                   ::wagtailwind::rpc::schema::AnswerSink::EndResults>
-  endRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::wagtailwind::rpc::schema::AnswerSink::HeadParams,  ::wagtailwind::rpc::schema::AnswerSink::HeadResults> headRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::StreamingRequest< ::wagtailwind::rpc::schema::AnswerSink::ChunkParams> chunkRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::wagtailwind::rpc::schema::AnswerSink::EndParams,  ::wagtailwind::rpc::schema::AnswerSink::EndResults> endRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
- protected:
+protected:
   Client() = default;
 };
 
-class AnswerSink::Server : public virtual ::capnp::Capability::Server {
- public:
+class AnswerSink::Server
+    : public virtual ::capnp::Capability::Server {
+public:
   typedef AnswerSink Serves;
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCall(
       uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context) override;
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
 
- protected:
-  typedef ::wagtailwind::rpc::schema::AnswerSink::HeadParams HeadParams;
-  typedef ::wagtailwind::rpc::schema::AnswerSink::HeadResults HeadResults;
+protected:
+  typedef  ::wagtailwind::rpc::schema::AnswerSink::HeadParams HeadParams;
+  typedef  ::wagtailwind::rpc::schema::AnswerSink::HeadResults HeadResults;
   typedef ::capnp::CallContext<HeadParams, HeadResults> HeadContext;
   virtual ::kj::Promise<void> head(HeadContext context);
-  typedef ::wagtailwind::rpc::schema::AnswerSink::ChunkParams ChunkParams;
+  typedef  ::wagtailwind::rpc::schema::AnswerSink::ChunkParams ChunkParams;
   typedef ::capnp::StreamingCallContext<ChunkParams> ChunkContext;
   virtual ::kj::Promise<void> chunk(ChunkContext context);
-  typedef ::wagtailwind::rpc::schema::AnswerSink::EndParams EndParams;
-  typedef ::wagtailwind::rpc::schema::AnswerSink::EndResults EndResults;
+  typedef  ::wagtailwind::rpc::schema::AnswerSink::EndParams EndParams;
+  typedef  ::wagtailwind::rpc::schema::AnswerSink::EndResults EndResults;
   typedef ::capnp::CallContext<EndParams, EndResults> EndContext;
   virtual ::kj::Promise<void> end(EndContext context);
 
-  inline ::wagtailwind::rpc::schema::AnswerSink::Client thisCap() {
+  inline  ::wagtailwind::rpc::schema::AnswerSink::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
-        .template castAs<::wagtailwind::rpc::schema::AnswerSink>();
+        .template castAs< ::wagtailwind::rpc::schema::AnswerSink>();
   }
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId, ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
 #endif  // !CAPNP_LITE
 
 class AnswerSink::HeadParams::Reader {
- public:
+public:
   typedef HeadParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1745,14 +1765,14 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequestId() const;
-  inline ::capnp::Data::Reader getRequestId() const;
+  inline  ::capnp::Data::Reader getRequestId() const;
 
-  inline ::uint32_t getAttempt() const;
+  inline  ::uint32_t getAttempt() const;
 
   inline bool hasHead() const;
-  inline ::wagtailwind::rpc::schema::AnswerHead::Reader getHead() const;
+  inline  ::wagtailwind::rpc::schema::AnswerHead::Reader getHead() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1765,13 +1785,13 @@
 };
 
 class AnswerSink::HeadParams::Builder {
- public:
+public:
   typedef HeadParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1781,23 +1801,23 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequestId();
-  inline ::capnp::Data::Builder getRequestId();
-  inline void setRequestId(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initRequestId(unsigned int size);
-  inline void adoptRequestId(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownRequestId();
+  inline  ::capnp::Data::Builder getRequestId();
+  inline void setRequestId( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initRequestId(unsigned int size);
+  inline void adoptRequestId(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownRequestId();
 
-  inline ::uint32_t getAttempt();
-  inline void setAttempt(::uint32_t value);
+  inline  ::uint32_t getAttempt();
+  inline void setAttempt( ::uint32_t value);
 
   inline bool hasHead();
-  inline ::wagtailwind::rpc::schema::AnswerHead::Builder getHead();
-  inline void setHead(::wagtailwind::rpc::schema::AnswerHead::Reader value);
-  inline ::wagtailwind::rpc::schema::AnswerHead::Builder initHead();
-  inline void adoptHead(::capnp::Orphan<::wagtailwind::rpc::schema::AnswerHead>&& value);
-  inline ::capnp::Orphan<::wagtailwind::rpc::schema::AnswerHead> disownHead();
+  inline  ::wagtailwind::rpc::schema::AnswerHead::Builder getHead();
+  inline void setHead( ::wagtailwind::rpc::schema::AnswerHead::Reader value);
+  inline  ::wagtailwind::rpc::schema::AnswerHead::Builder initHead();
+  inline void adoptHead(::capnp::Orphan< ::wagtailwind::rpc::schema::AnswerHead>&& value);
+  inline ::capnp::Orphan< ::wagtailwind::rpc::schema::AnswerHead> disownHead();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1808,16 +1828,15 @@
 
 #if !CAPNP_LITE
 class AnswerSink::HeadParams::Pipeline {
- public:
+public:
   typedef HeadParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::wagtailwind::rpc::schema::AnswerHead::Pipeline getHead();
-
- private:
+  inline  ::wagtailwind::rpc::schema::AnswerHead::Pipeline getHead();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1826,13 +1845,15 @@
 #endif  // !CAPNP_LITE
 
 class AnswerSink::HeadResults::Reader {
- public:
+public:
   typedef HeadResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1840,7 +1861,7 @@
   }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1853,13 +1874,13 @@
 };
 
 class AnswerSink::HeadResults::Builder {
- public:
+public:
   typedef HeadResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1868,7 +1889,7 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1879,14 +1900,14 @@
 
 #if !CAPNP_LITE
 class AnswerSink::HeadResults::Pipeline {
- public:
+public:
   typedef HeadResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1895,13 +1916,15 @@
 #endif  // !CAPNP_LITE
 
 class AnswerSink::ChunkParams::Reader {
- public:
+public:
   typedef ChunkParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1909,12 +1932,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getOffset() const;
+  inline  ::uint64_t getOffset() const;
 
   inline bool hasData() const;
-  inline ::capnp::Data::Reader getData() const;
+  inline  ::capnp::Data::Reader getData() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1927,13 +1950,13 @@
 };
 
 class AnswerSink::ChunkParams::Builder {
- public:
+public:
   typedef ChunkParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1942,17 +1965,17 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getOffset();
-  inline void setOffset(::uint64_t value);
+  inline  ::uint64_t getOffset();
+  inline void setOffset( ::uint64_t value);
 
   inline bool hasData();
-  inline ::capnp::Data::Builder getData();
-  inline void setData(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initData(unsigned int size);
-  inline void adoptData(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownData();
+  inline  ::capnp::Data::Builder getData();
+  inline void setData( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initData(unsigned int size);
+  inline void adoptData(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownData();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1963,14 +1986,14 @@
 
 #if !CAPNP_LITE
 class AnswerSink::ChunkParams::Pipeline {
- public:
+public:
   typedef ChunkParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1979,13 +2002,15 @@
 #endif  // !CAPNP_LITE
 
 class AnswerSink::EndParams::Reader {
- public:
+public:
   typedef EndParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1994,9 +2019,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasEnd() const;
-  inline ::wagtailwind::rpc::schema::AnswerEnd::Reader getEnd() const;
+  inline  ::wagtailwind::rpc::schema::AnswerEnd::Reader getEnd() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2009,13 +2034,13 @@
 };
 
 class AnswerSink::EndParams::Builder {
- public:
+public:
   typedef EndParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2025,13 +2050,13 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasEnd();
-  inline ::wagtailwind::rpc::schema::AnswerEnd::Builder getEnd();
-  inline void setEnd(::wagtailwind::rpc::schema::AnswerEnd::Reader value);
-  inline ::wagtailwind::rpc::schema::AnswerEnd::Builder initEnd();
-  inline void adoptEnd(::capnp::Orphan<::wagtailwind::rpc::schema::AnswerEnd>&& value);
-  inline ::capnp::Orphan<::wagtailwind::rpc::schema::AnswerEnd> disownEnd();
+  inline  ::wagtailwind::rpc::schema::AnswerEnd::Builder getEnd();
+  inline void setEnd( ::wagtailwind::rpc::schema::AnswerEnd::Reader value);
+  inline  ::wagtailwind::rpc::schema::AnswerEnd::Builder initEnd();
+  inline void adoptEnd(::capnp::Orphan< ::wagtailwind::rpc::schema::AnswerEnd>&& value);
+  inline ::capnp::Orphan< ::wagtailwind::rpc::schema::AnswerEnd> disownEnd();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2042,16 +2067,15 @@
 
 #if !CAPNP_LITE
 class AnswerSink::EndParams::Pipeline {
- public:
+public:
   typedef EndParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::wagtailwind::rpc::schema::AnswerEnd::Pipeline getEnd();
-
- private:
+  inline  ::wagtailwind::rpc::schema::AnswerEnd::Pipeline getEnd();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2060,13 +2084,15 @@
 #endif  // !CAPNP_LITE
 
 class AnswerSink::EndResults::Reader {
- public:
+public:
   typedef EndResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2074,7 +2100,7 @@
   }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2087,13 +2113,13 @@
 };
 
 class AnswerSink::EndResults::Builder {
- public:
+public:
   typedef EndResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2102,7 +2128,7 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2113,14 +2139,14 @@
 
 #if !CAPNP_LITE
 class AnswerSink::EndResults::Pipeline {
- public:
+public:
   typedef EndResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2129,16 +2155,17 @@
 #endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class CallHandle::Client : public virtual ::capnp::Capability::Client {
- public:
+class CallHandle::Client
+    : public virtual ::capnp::Capability::Client {
+public:
   typedef CallHandle Calls;
   typedef CallHandle Reads;
 
   Client(decltype(nullptr));
-  explicit Client(::kj::Own<::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Server*>()>>
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
   Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Client*>()>>
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
   Client(::kj::Promise<_t>&& promise);
   Client(::kj::Exception&& exception);
   Client(Client&) = default;
@@ -2146,46 +2173,50 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request<::wagtailwind::rpc::schema::CallHandle::CancelParams,
-                   ::wagtailwind::rpc::schema::CallHandle::CancelResults>
-  cancelRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::wagtailwind::rpc::schema::CallHandle::CancelParams,  ::wagtailwind::rpc::schema::CallHandle::CancelResults> cancelRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
- protected:
+protected:
   Client() = default;
 };
 
-class CallHandle::Server : public virtual ::capnp::Capability::Server {
- public:
+class CallHandle::Server
+    : public virtual ::capnp::Capability::Server {
+public:
   typedef CallHandle Serves;
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCall(
       uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context) override;
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
 
- protected:
-  typedef ::wagtailwind::rpc::schema::CallHandle::CancelParams CancelParams;
-  typedef ::wagtailwind::rpc::schema::CallHandle::CancelResults CancelResults;
+protected:
+  typedef  ::wagtailwind::rpc::schema::CallHandle::CancelParams CancelParams;
+  typedef  ::wagtailwind::rpc::schema::CallHandle::CancelResults CancelResults;
   typedef ::capnp::CallContext<CancelParams, CancelResults> CancelContext;
   virtual ::kj::Promise<void> cancel(CancelContext context);
 
-  inline ::wagtailwind::rpc::schema::CallHandle::Client thisCap() {
+  inline  ::wagtailwind::rpc::schema::CallHandle::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
-        .template castAs<::wagtailwind::rpc::schema::CallHandle>();
+        .template castAs< ::wagtailwind::rpc::schema::CallHandle>();
   }
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId, ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
 #endif  // !CAPNP_LITE
 
 class CallHandle::CancelParams::Reader {
- public:
+public:
   typedef CancelParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2193,7 +2224,7 @@
   }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2206,13 +2237,13 @@
 };
 
 class CallHandle::CancelParams::Builder {
- public:
+public:
   typedef CancelParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2221,7 +2252,7 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2232,14 +2263,14 @@
 
 #if !CAPNP_LITE
 class CallHandle::CancelParams::Pipeline {
- public:
+public:
   typedef CancelParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2248,13 +2279,15 @@
 #endif  // !CAPNP_LITE
 
 class CallHandle::CancelResults::Reader {
- public:
+public:
   typedef CancelResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2262,7 +2295,7 @@
   }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2275,13 +2308,13 @@
 };
 
 class CallHandle::CancelResults::Builder {
- public:
+public:
   typedef CancelResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2290,7 +2323,7 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2301,14 +2334,14 @@
 
 #if !CAPNP_LITE
 class CallHandle::CancelResults::Pipeline {
- public:
+public:
   typedef CancelResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2317,13 +2350,15 @@
 #endif  // !CAPNP_LITE
 
 class ChatMoved::Reader {
- public:
+public:
   typedef ChatMoved Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2332,15 +2367,15 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasOrganisation() const;
-  inline ::capnp::Text::Reader getOrganisation() const;
+  inline  ::capnp::Text::Reader getOrganisation() const;
 
   inline bool hasChat() const;
-  inline ::capnp::Text::Reader getChat() const;
+  inline  ::capnp::Text::Reader getChat() const;
 
   inline bool hasEndpoint() const;
-  inline ::capnp::Text::Reader getEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2353,13 +2388,13 @@
 };
 
 class ChatMoved::Builder {
- public:
+public:
   typedef ChatMoved Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2369,27 +2404,27 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasOrganisation();
-  inline ::capnp::Text::Builder getOrganisation();
-  inline void setOrganisation(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initOrganisation(unsigned int size);
-  inline void adoptOrganisation(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownOrganisation();
+  inline  ::capnp::Text::Builder getOrganisation();
+  inline void setOrganisation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOrganisation(unsigned int size);
+  inline void adoptOrganisation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOrganisation();
 
   inline bool hasChat();
-  inline ::capnp::Text::Builder getChat();
-  inline void setChat(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initChat(unsigned int size);
-  inline void adoptChat(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownChat();
+  inline  ::capnp::Text::Builder getChat();
+  inline void setChat( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initChat(unsigned int size);
+  inline void adoptChat(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownChat();
 
   inline bool hasEndpoint();
-  inline ::capnp::Text::Builder getEndpoint();
-  inline void setEndpoint(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initEndpoint(unsigned int size);
-  inline void adoptEndpoint(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2400,14 +2435,14 @@
 
 #if !CAPNP_LITE
 class ChatMoved::Pipeline {
- public:
+public:
   typedef ChatMoved Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2416,16 +2451,17 @@
 #endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class AgentService::Client : public virtual ::capnp::Capability::Client {
- public:
+class AgentService::Client
+    : public virtual ::capnp::Capability::Client {
+public:
   typedef AgentService Calls;
   typedef AgentService Reads;
 
   Client(decltype(nullptr));
-  explicit Client(::kj::Own<::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Server*>()>>
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
   Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Client*>()>>
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
   Client(::kj::Promise<_t>&& promise);
   Client(::kj::Exception&& exception);
   Client(Client&) = default;
@@ -2433,60 +2469,62 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request<::wagtailwind::rpc::schema::AgentService::ExecuteParams,
-                   ::wagtailwind::rpc::schema::AgentService::ExecuteResults>
-  executeRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::wagtailwind::rpc::schema::AgentService::ResumeParams,
-                   ::wagtailwind::rpc::schema::AgentService::ResumeResults>
-  resumeRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::wagtailwind::rpc::schema::AgentService::ChatMovedParams,
-                   ::wagtailwind::rpc::schema::AgentService::ChatMovedResults>
-  chatMovedRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-
- protected:
+  ::capnp::Request< ::wagtailwind::rpc::schema::AgentService::ExecuteParams,  ::wagtailwind::rpc::schema::AgentService::ExecuteResults> executeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::wagtailwind::rpc::schema::AgentService::ResumeParams,  ::wagtailwind::rpc::schema::AgentService::ResumeResults> resumeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::wagtailwind::rpc::schema::AgentService::ChatMovedParams,  ::wagtailwind::rpc::schema::AgentService::ChatMovedResults> chatMovedRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
   Client() = default;
 };
 
-class AgentService::Server : public virtual ::capnp::Capability::Server {
- public:
+class AgentService::Server
+    : public virtual ::capnp::Capability::Server {
+public:
   typedef AgentService Serves;
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCall(
       uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context) override;
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
 
- protected:
-  typedef ::wagtailwind::rpc::schema::AgentService::ExecuteParams ExecuteParams;
-  typedef ::wagtailwind::rpc::schema::AgentService::ExecuteResults ExecuteResults;
+protected:
+  typedef  ::wagtailwind::rpc::schema::AgentService::ExecuteParams ExecuteParams;
+  typedef  ::wagtailwind::rpc::schema::AgentService::ExecuteResults ExecuteResults;
   typedef ::capnp::CallContext<ExecuteParams, ExecuteResults> ExecuteContext;
   virtual ::kj::Promise<void> execute(ExecuteContext context);
-  typedef ::wagtailwind::rpc::schema::AgentService::ResumeParams ResumeParams;
-  typedef ::wagtailwind::rpc::schema::AgentService::ResumeResults ResumeResults;
+  typedef  ::wagtailwind::rpc::schema::AgentService::ResumeParams ResumeParams;
+  typedef  ::wagtailwind::rpc::schema::AgentService::ResumeResults ResumeResults;
   typedef ::capnp::CallContext<ResumeParams, ResumeResults> ResumeContext;
   virtual ::kj::Promise<void> resume(ResumeContext context);
-  typedef ::wagtailwind::rpc::schema::AgentService::ChatMovedParams ChatMovedParams;
-  typedef ::wagtailwind::rpc::schema::AgentService::ChatMovedResults ChatMovedResults;
+  typedef  ::wagtailwind::rpc::schema::AgentService::ChatMovedParams ChatMovedParams;
+  typedef  ::wagtailwind::rpc::schema::AgentService::ChatMovedResults ChatMovedResults;
   typedef ::capnp::CallContext<ChatMovedParams, ChatMovedResults> ChatMovedContext;
   virtual ::kj::Promise<void> chatMoved(ChatMovedContext context);
 
-  inline ::wagtailwind::rpc::schema::AgentService::Client thisCap() {
+  inline  ::wagtailwind::rpc::schema::AgentService::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
-        .template castAs<::wagtailwind::rpc::schema::AgentService>();
+        .template castAs< ::wagtailwind::rpc::schema::AgentService>();
   }
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId, ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
 #endif  // !CAPNP_LITE
 
 class AgentService::ExecuteParams::Reader {
- public:
+public:
   typedef ExecuteParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2495,14 +2533,14 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasCall() const;
-  inline ::wagtailwind::rpc::schema::Call::Reader getCall() const;
+  inline  ::wagtailwind::rpc::schema::Call::Reader getCall() const;
 
   inline bool hasSink() const;
 #if !CAPNP_LITE
-  inline ::wagtailwind::rpc::schema::AnswerSink::Client getSink() const;
+  inline  ::wagtailwind::rpc::schema::AnswerSink::Client getSink() const;
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2515,13 +2553,13 @@
 };
 
 class AgentService::ExecuteParams::Builder {
- public:
+public:
   typedef ExecuteParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2531,22 +2569,22 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasCall();
-  inline ::wagtailwind::rpc::schema::Call::Builder getCall();
-  inline void setCall(::wagtailwind::rpc::schema::Call::Reader value);
-  inline ::wagtailwind::rpc::schema::Call::Builder initCall();
-  inline void adoptCall(::capnp::Orphan<::wagtailwind::rpc::schema::Call>&& value);
-  inline ::capnp::Orphan<::wagtailwind::rpc::schema::Call> disownCall();
+  inline  ::wagtailwind::rpc::schema::Call::Builder getCall();
+  inline void setCall( ::wagtailwind::rpc::schema::Call::Reader value);
+  inline  ::wagtailwind::rpc::schema::Call::Builder initCall();
+  inline void adoptCall(::capnp::Orphan< ::wagtailwind::rpc::schema::Call>&& value);
+  inline ::capnp::Orphan< ::wagtailwind::rpc::schema::Call> disownCall();
 
   inline bool hasSink();
 #if !CAPNP_LITE
-  inline ::wagtailwind::rpc::schema::AnswerSink::Client getSink();
-  inline void setSink(::wagtailwind::rpc::schema::AnswerSink::Client&& value);
-  inline void setSink(::wagtailwind::rpc::schema::AnswerSink::Client& value);
-  inline void adoptSink(::capnp::Orphan<::wagtailwind::rpc::schema::AnswerSink>&& value);
-  inline ::capnp::Orphan<::wagtailwind::rpc::schema::AnswerSink> disownSink();
+  inline  ::wagtailwind::rpc::schema::AnswerSink::Client getSink();
+  inline void setSink( ::wagtailwind::rpc::schema::AnswerSink::Client&& value);
+  inline void setSink( ::wagtailwind::rpc::schema::AnswerSink::Client& value);
+  inline void adoptSink(::capnp::Orphan< ::wagtailwind::rpc::schema::AnswerSink>&& value);
+  inline ::capnp::Orphan< ::wagtailwind::rpc::schema::AnswerSink> disownSink();
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2557,17 +2595,16 @@
 
 #if !CAPNP_LITE
 class AgentService::ExecuteParams::Pipeline {
- public:
+public:
   typedef ExecuteParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::wagtailwind::rpc::schema::Call::Pipeline getCall();
-  inline ::wagtailwind::rpc::schema::AnswerSink::Client getSink();
-
- private:
+  inline  ::wagtailwind::rpc::schema::Call::Pipeline getCall();
+  inline  ::wagtailwind::rpc::schema::AnswerSink::Client getSink();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2576,13 +2613,15 @@
 #endif  // !CAPNP_LITE
 
 class AgentService::ExecuteResults::Reader {
- public:
+public:
   typedef ExecuteResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2591,14 +2630,14 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasAdmission() const;
-  inline ::wagtailwind::rpc::schema::Admission::Reader getAdmission() const;
+  inline  ::wagtailwind::rpc::schema::Admission::Reader getAdmission() const;
 
   inline bool hasHandle() const;
 #if !CAPNP_LITE
-  inline ::wagtailwind::rpc::schema::CallHandle::Client getHandle() const;
+  inline  ::wagtailwind::rpc::schema::CallHandle::Client getHandle() const;
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2611,13 +2650,13 @@
 };
 
 class AgentService::ExecuteResults::Builder {
- public:
+public:
   typedef ExecuteResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2627,22 +2666,22 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasAdmission();
-  inline ::wagtailwind::rpc::schema::Admission::Builder getAdmission();
-  inline void setAdmission(::wagtailwind::rpc::schema::Admission::Reader value);
-  inline ::wagtailwind::rpc::schema::Admission::Builder initAdmission();
-  inline void adoptAdmission(::capnp::Orphan<::wagtailwind::rpc::schema::Admission>&& value);
-  inline ::capnp::Orphan<::wagtailwind::rpc::schema::Admission> disownAdmission();
+  inline  ::wagtailwind::rpc::schema::Admission::Builder getAdmission();
+  inline void setAdmission( ::wagtailwind::rpc::schema::Admission::Reader value);
+  inline  ::wagtailwind::rpc::schema::Admission::Builder initAdmission();
+  inline void adoptAdmission(::capnp::Orphan< ::wagtailwind::rpc::schema::Admission>&& value);
+  inline ::capnp::Orphan< ::wagtailwind::rpc::schema::Admission> disownAdmission();
 
   inline bool hasHandle();
 #if !CAPNP_LITE
-  inline ::wagtailwind::rpc::schema::CallHandle::Client getHandle();
-  inline void setHandle(::wagtailwind::rpc::schema::CallHandle::Client&& value);
-  inline void setHandle(::wagtailwind::rpc::schema::CallHandle::Client& value);
-  inline void adoptHandle(::capnp::Orphan<::wagtailwind::rpc::schema::CallHandle>&& value);
-  inline ::capnp::Orphan<::wagtailwind::rpc::schema::CallHandle> disownHandle();
+  inline  ::wagtailwind::rpc::schema::CallHandle::Client getHandle();
+  inline void setHandle( ::wagtailwind::rpc::schema::CallHandle::Client&& value);
+  inline void setHandle( ::wagtailwind::rpc::schema::CallHandle::Client& value);
+  inline void adoptHandle(::capnp::Orphan< ::wagtailwind::rpc::schema::CallHandle>&& value);
+  inline ::capnp::Orphan< ::wagtailwind::rpc::schema::CallHandle> disownHandle();
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2653,17 +2692,16 @@
 
 #if !CAPNP_LITE
 class AgentService::ExecuteResults::Pipeline {
- public:
+public:
   typedef ExecuteResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::wagtailwind::rpc::schema::Admission::Pipeline getAdmission();
-  inline ::wagtailwind::rpc::schema::CallHandle::Client getHandle();
-
- private:
+  inline  ::wagtailwind::rpc::schema::Admission::Pipeline getAdmission();
+  inline  ::wagtailwind::rpc::schema::CallHandle::Client getHandle();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2672,13 +2710,15 @@
 #endif  // !CAPNP_LITE
 
 class AgentService::ResumeParams::Reader {
- public:
+public:
   typedef ResumeParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2687,19 +2727,19 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasAnswerId() const;
-  inline ::capnp::Text::Reader getAnswerId() const;
+  inline  ::capnp::Text::Reader getAnswerId() const;
 
   inline bool hasOrganisation() const;
-  inline ::capnp::Text::Reader getOrganisation() const;
+  inline  ::capnp::Text::Reader getOrganisation() const;
 
-  inline ::uint64_t getOffset() const;
+  inline  ::uint64_t getOffset() const;
 
   inline bool hasSink() const;
 #if !CAPNP_LITE
-  inline ::wagtailwind::rpc::schema::AnswerSink::Client getSink() const;
+  inline  ::wagtailwind::rpc::schema::AnswerSink::Client getSink() const;
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2712,13 +2752,13 @@
 };
 
 class AgentService::ResumeParams::Builder {
- public:
+public:
   typedef ResumeParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2728,32 +2768,32 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasAnswerId();
-  inline ::capnp::Text::Builder getAnswerId();
-  inline void setAnswerId(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initAnswerId(unsigned int size);
-  inline void adoptAnswerId(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownAnswerId();
+  inline  ::capnp::Text::Builder getAnswerId();
+  inline void setAnswerId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAnswerId(unsigned int size);
+  inline void adoptAnswerId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAnswerId();
 
   inline bool hasOrganisation();
-  inline ::capnp::Text::Builder getOrganisation();
-  inline void setOrganisation(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initOrganisation(unsigned int size);
-  inline void adoptOrganisation(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownOrganisation();
+  inline  ::capnp::Text::Builder getOrganisation();
+  inline void setOrganisation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOrganisation(unsigned int size);
+  inline void adoptOrganisation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOrganisation();
 
-  inline ::uint64_t getOffset();
-  inline void setOffset(::uint64_t value);
+  inline  ::uint64_t getOffset();
+  inline void setOffset( ::uint64_t value);
 
   inline bool hasSink();
 #if !CAPNP_LITE
-  inline ::wagtailwind::rpc::schema::AnswerSink::Client getSink();
-  inline void setSink(::wagtailwind::rpc::schema::AnswerSink::Client&& value);
-  inline void setSink(::wagtailwind::rpc::schema::AnswerSink::Client& value);
-  inline void adoptSink(::capnp::Orphan<::wagtailwind::rpc::schema::AnswerSink>&& value);
-  inline ::capnp::Orphan<::wagtailwind::rpc::schema::AnswerSink> disownSink();
+  inline  ::wagtailwind::rpc::schema::AnswerSink::Client getSink();
+  inline void setSink( ::wagtailwind::rpc::schema::AnswerSink::Client&& value);
+  inline void setSink( ::wagtailwind::rpc::schema::AnswerSink::Client& value);
+  inline void adoptSink(::capnp::Orphan< ::wagtailwind::rpc::schema::AnswerSink>&& value);
+  inline ::capnp::Orphan< ::wagtailwind::rpc::schema::AnswerSink> disownSink();
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2764,16 +2804,15 @@
 
 #if !CAPNP_LITE
 class AgentService::ResumeParams::Pipeline {
- public:
+public:
   typedef ResumeParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::wagtailwind::rpc::schema::AnswerSink::Client getSink();
-
- private:
+  inline  ::wagtailwind::rpc::schema::AnswerSink::Client getSink();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2782,13 +2821,15 @@
 #endif  // !CAPNP_LITE
 
 class AgentService::ResumeResults::Reader {
- public:
+public:
   typedef ResumeResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2800,10 +2841,10 @@
 
   inline bool hasHandle() const;
 #if !CAPNP_LITE
-  inline ::wagtailwind::rpc::schema::CallHandle::Client getHandle() const;
+  inline  ::wagtailwind::rpc::schema::CallHandle::Client getHandle() const;
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2816,13 +2857,13 @@
 };
 
 class AgentService::ResumeResults::Builder {
- public:
+public:
   typedef ResumeResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2836,14 +2877,14 @@
 
   inline bool hasHandle();
 #if !CAPNP_LITE
-  inline ::wagtailwind::rpc::schema::CallHandle::Client getHandle();
-  inline void setHandle(::wagtailwind::rpc::schema::CallHandle::Client&& value);
-  inline void setHandle(::wagtailwind::rpc::schema::CallHandle::Client& value);
-  inline void adoptHandle(::capnp::Orphan<::wagtailwind::rpc::schema::CallHandle>&& value);
-  inline ::capnp::Orphan<::wagtailwind::rpc::schema::CallHandle> disownHandle();
+  inline  ::wagtailwind::rpc::schema::CallHandle::Client getHandle();
+  inline void setHandle( ::wagtailwind::rpc::schema::CallHandle::Client&& value);
+  inline void setHandle( ::wagtailwind::rpc::schema::CallHandle::Client& value);
+  inline void adoptHandle(::capnp::Orphan< ::wagtailwind::rpc::schema::CallHandle>&& value);
+  inline ::capnp::Orphan< ::wagtailwind::rpc::schema::CallHandle> disownHandle();
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2854,16 +2895,15 @@
 
 #if !CAPNP_LITE
 class AgentService::ResumeResults::Pipeline {
- public:
+public:
   typedef ResumeResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::wagtailwind::rpc::schema::CallHandle::Client getHandle();
-
- private:
+  inline  ::wagtailwind::rpc::schema::CallHandle::Client getHandle();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2872,13 +2912,15 @@
 #endif  // !CAPNP_LITE
 
 class AgentService::ChatMovedParams::Reader {
- public:
+public:
   typedef ChatMovedParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2887,9 +2929,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasMoved() const;
-  inline ::wagtailwind::rpc::schema::ChatMoved::Reader getMoved() const;
+  inline  ::wagtailwind::rpc::schema::ChatMoved::Reader getMoved() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2902,13 +2944,13 @@
 };
 
 class AgentService::ChatMovedParams::Builder {
- public:
+public:
   typedef ChatMovedParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2918,13 +2960,13 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasMoved();
-  inline ::wagtailwind::rpc::schema::ChatMoved::Builder getMoved();
-  inline void setMoved(::wagtailwind::rpc::schema::ChatMoved::Reader value);
-  inline ::wagtailwind::rpc::schema::ChatMoved::Builder initMoved();
-  inline void adoptMoved(::capnp::Orphan<::wagtailwind::rpc::schema::ChatMoved>&& value);
-  inline ::capnp::Orphan<::wagtailwind::rpc::schema::ChatMoved> disownMoved();
+  inline  ::wagtailwind::rpc::schema::ChatMoved::Builder getMoved();
+  inline void setMoved( ::wagtailwind::rpc::schema::ChatMoved::Reader value);
+  inline  ::wagtailwind::rpc::schema::ChatMoved::Builder initMoved();
+  inline void adoptMoved(::capnp::Orphan< ::wagtailwind::rpc::schema::ChatMoved>&& value);
+  inline ::capnp::Orphan< ::wagtailwind::rpc::schema::ChatMoved> disownMoved();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2935,16 +2977,15 @@
 
 #if !CAPNP_LITE
 class AgentService::ChatMovedParams::Pipeline {
- public:
+public:
   typedef ChatMovedParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::wagtailwind::rpc::schema::ChatMoved::Pipeline getMoved();
-
- private:
+  inline  ::wagtailwind::rpc::schema::ChatMoved::Pipeline getMoved();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2953,13 +2994,15 @@
 #endif  // !CAPNP_LITE
 
 class AgentService::ChatMovedResults::Reader {
- public:
+public:
   typedef ChatMovedResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2967,7 +3010,7 @@
   }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2980,13 +3023,13 @@
 };
 
 class AgentService::ChatMovedResults::Builder {
- public:
+public:
   typedef ChatMovedResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2995,7 +3038,7 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3006,14 +3049,14 @@
 
 #if !CAPNP_LITE
 class AgentService::ChatMovedResults::Pipeline {
- public:
+public:
   typedef ChatMovedResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -3022,13 +3065,15 @@
 #endif  // !CAPNP_LITE
 
 class MemberRecord::Reader {
- public:
+public:
   typedef MemberRecord Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -3037,32 +3082,32 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasInstance() const;
-  inline ::capnp::Text::Reader getInstance() const;
+  inline  ::capnp::Text::Reader getInstance() const;
 
-  inline ::uint8_t getRole() const;
+  inline  ::uint8_t getRole() const;
 
   inline bool hasZone() const;
-  inline ::capnp::Text::Reader getZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
 
   inline bool hasRegion() const;
-  inline ::capnp::Text::Reader getRegion() const;
+  inline  ::capnp::Text::Reader getRegion() const;
 
-  inline ::uint64_t getIncarnation() const;
+  inline  ::uint64_t getIncarnation() const;
 
   inline bool hasRpcAddress() const;
-  inline ::capnp::Text::Reader getRpcAddress() const;
+  inline  ::capnp::Text::Reader getRpcAddress() const;
 
   inline bool hasGossipAddress() const;
-  inline ::capnp::Text::Reader getGossipAddress() const;
+  inline  ::capnp::Text::Reader getGossipAddress() const;
 
-  inline ::uint8_t getState() const;
+  inline  ::uint8_t getState() const;
 
-  inline ::uint32_t getStateNumber() const;
+  inline  ::uint32_t getStateNumber() const;
 
   inline bool hasEndpoint() const;
-  inline ::wagtailwind::rpc::schema::EndpointRecord::Reader getEndpoint() const;
+  inline  ::wagtailwind::rpc::schema::EndpointRecord::Reader getEndpoint() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3075,13 +3120,13 @@
 };
 
 class MemberRecord::Builder {
- public:
+public:
   typedef MemberRecord Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -3091,60 +3136,60 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasInstance();
-  inline ::capnp::Text::Builder getInstance();
-  inline void setInstance(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initInstance(unsigned int size);
-  inline void adoptInstance(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownInstance();
+  inline  ::capnp::Text::Builder getInstance();
+  inline void setInstance( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initInstance(unsigned int size);
+  inline void adoptInstance(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownInstance();
 
-  inline ::uint8_t getRole();
-  inline void setRole(::uint8_t value);
+  inline  ::uint8_t getRole();
+  inline void setRole( ::uint8_t value);
 
   inline bool hasZone();
-  inline ::capnp::Text::Builder getZone();
-  inline void setZone(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initZone(unsigned int size);
-  inline void adoptZone(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
 
   inline bool hasRegion();
-  inline ::capnp::Text::Builder getRegion();
-  inline void setRegion(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initRegion(unsigned int size);
-  inline void adoptRegion(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownRegion();
+  inline  ::capnp::Text::Builder getRegion();
+  inline void setRegion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRegion(unsigned int size);
+  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
 
-  inline ::uint64_t getIncarnation();
-  inline void setIncarnation(::uint64_t value);
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
   inline bool hasRpcAddress();
-  inline ::capnp::Text::Builder getRpcAddress();
-  inline void setRpcAddress(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initRpcAddress(unsigned int size);
-  inline void adoptRpcAddress(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownRpcAddress();
+  inline  ::capnp::Text::Builder getRpcAddress();
+  inline void setRpcAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRpcAddress(unsigned int size);
+  inline void adoptRpcAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRpcAddress();
 
   inline bool hasGossipAddress();
-  inline ::capnp::Text::Builder getGossipAddress();
-  inline void setGossipAddress(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initGossipAddress(unsigned int size);
-  inline void adoptGossipAddress(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownGossipAddress();
+  inline  ::capnp::Text::Builder getGossipAddress();
+  inline void setGossipAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initGossipAddress(unsigned int size);
+  inline void adoptGossipAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownGossipAddress();
 
-  inline ::uint8_t getState();
-  inline void setState(::uint8_t value);
+  inline  ::uint8_t getState();
+  inline void setState( ::uint8_t value);
 
-  inline ::uint32_t getStateNumber();
-  inline void setStateNumber(::uint32_t value);
+  inline  ::uint32_t getStateNumber();
+  inline void setStateNumber( ::uint32_t value);
 
   inline bool hasEndpoint();
-  inline ::wagtailwind::rpc::schema::EndpointRecord::Builder getEndpoint();
-  inline void setEndpoint(::wagtailwind::rpc::schema::EndpointRecord::Reader value);
-  inline ::wagtailwind::rpc::schema::EndpointRecord::Builder initEndpoint();
-  inline void adoptEndpoint(::capnp::Orphan<::wagtailwind::rpc::schema::EndpointRecord>&& value);
-  inline ::capnp::Orphan<::wagtailwind::rpc::schema::EndpointRecord> disownEndpoint();
+  inline  ::wagtailwind::rpc::schema::EndpointRecord::Builder getEndpoint();
+  inline void setEndpoint( ::wagtailwind::rpc::schema::EndpointRecord::Reader value);
+  inline  ::wagtailwind::rpc::schema::EndpointRecord::Builder initEndpoint();
+  inline void adoptEndpoint(::capnp::Orphan< ::wagtailwind::rpc::schema::EndpointRecord>&& value);
+  inline ::capnp::Orphan< ::wagtailwind::rpc::schema::EndpointRecord> disownEndpoint();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3155,16 +3200,15 @@
 
 #if !CAPNP_LITE
 class MemberRecord::Pipeline {
- public:
+public:
   typedef MemberRecord Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::wagtailwind::rpc::schema::EndpointRecord::Pipeline getEndpoint();
-
- private:
+  inline  ::wagtailwind::rpc::schema::EndpointRecord::Pipeline getEndpoint();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -3173,13 +3217,15 @@
 #endif  // !CAPNP_LITE
 
 class EndpointRecord::Reader {
- public:
+public:
   typedef EndpointRecord Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -3188,19 +3234,19 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasEndpoint() const;
-  inline ::capnp::Text::Reader getEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
 
-  inline ::uint8_t getKind() const;
+  inline  ::uint8_t getKind() const;
 
   inline bool hasPool() const;
-  inline ::capnp::Text::Reader getPool() const;
+  inline  ::capnp::Text::Reader getPool() const;
 
-  inline ::uint32_t getCapacity() const;
+  inline  ::uint32_t getCapacity() const;
 
   inline bool hasModels() const;
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getModels() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getModels() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3213,13 +3259,13 @@
 };
 
 class EndpointRecord::Builder {
- public:
+public:
   typedef EndpointRecord Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -3229,35 +3275,34 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasEndpoint();
-  inline ::capnp::Text::Builder getEndpoint();
-  inline void setEndpoint(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initEndpoint(unsigned int size);
-  inline void adoptEndpoint(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
 
-  inline ::uint8_t getKind();
-  inline void setKind(::uint8_t value);
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
 
   inline bool hasPool();
-  inline ::capnp::Text::Builder getPool();
-  inline void setPool(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initPool(unsigned int size);
-  inline void adoptPool(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownPool();
+  inline  ::capnp::Text::Builder getPool();
+  inline void setPool( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPool(unsigned int size);
+  inline void adoptPool(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPool();
 
-  inline ::uint32_t getCapacity();
-  inline void setCapacity(::uint32_t value);
+  inline  ::uint32_t getCapacity();
+  inline void setCapacity( ::uint32_t value);
 
   inline bool hasModels();
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getModels();
-  inline void setModels(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-  inline void setModels(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initModels(unsigned int size);
-  inline void adoptModels(
-      ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> disownModels();
-
- private:
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getModels();
+  inline void setModels( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setModels(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initModels(unsigned int size);
+  inline void adoptModels(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownModels();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3268,14 +3313,14 @@
 
 #if !CAPNP_LITE
 class EndpointRecord::Pipeline {
- public:
+public:
   typedef EndpointRecord Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -3284,13 +3329,15 @@
 #endif  // !CAPNP_LITE
 
 class LoadRecord::Reader {
- public:
+public:
   typedef LoadRecord Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -3298,13 +3345,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getEndpointHash() const;
+  inline  ::uint64_t getEndpointHash() const;
 
-  inline ::uint32_t getWorkTokens() const;
+  inline  ::uint32_t getWorkTokens() const;
 
-  inline ::uint16_t getAgeMs() const;
+  inline  ::uint16_t getAgeMs() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3317,13 +3364,13 @@
 };
 
 class LoadRecord::Builder {
- public:
+public:
   typedef LoadRecord Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -3332,16 +3379,16 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getEndpointHash();
-  inline void setEndpointHash(::uint64_t value);
+  inline  ::uint64_t getEndpointHash();
+  inline void setEndpointHash( ::uint64_t value);
 
-  inline ::uint32_t getWorkTokens();
-  inline void setWorkTokens(::uint32_t value);
+  inline  ::uint32_t getWorkTokens();
+  inline void setWorkTokens( ::uint32_t value);
 
-  inline ::uint16_t getAgeMs();
-  inline void setAgeMs(::uint16_t value);
+  inline  ::uint16_t getAgeMs();
+  inline void setAgeMs( ::uint16_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3352,14 +3399,14 @@
 
 #if !CAPNP_LITE
 class LoadRecord::Pipeline {
- public:
+public:
   typedef LoadRecord Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -3368,13 +3415,15 @@
 #endif  // !CAPNP_LITE
 
 class ConfigurationDigest::Reader {
- public:
+public:
   typedef ConfigurationDigest Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -3382,11 +3431,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getVersion() const;
+  inline  ::uint64_t getVersion() const;
 
-  inline ::uint32_t getConfirmationAgeMs() const;
+  inline  ::uint32_t getConfirmationAgeMs() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3399,13 +3448,13 @@
 };
 
 class ConfigurationDigest::Builder {
- public:
+public:
   typedef ConfigurationDigest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -3414,13 +3463,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getVersion();
-  inline void setVersion(::uint64_t value);
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
 
-  inline ::uint32_t getConfirmationAgeMs();
-  inline void setConfirmationAgeMs(::uint32_t value);
+  inline  ::uint32_t getConfirmationAgeMs();
+  inline void setConfirmationAgeMs( ::uint32_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3431,14 +3480,14 @@
 
 #if !CAPNP_LITE
 class ConfigurationDigest::Pipeline {
- public:
+public:
   typedef ConfigurationDigest Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -3447,13 +3496,15 @@
 #endif  // !CAPNP_LITE
 
 class PoolSummary::Reader {
- public:
+public:
   typedef PoolSummary Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -3461,17 +3512,17 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getZoneHash() const;
+  inline  ::uint64_t getZoneHash() const;
 
-  inline ::uint64_t getPoolHash() const;
+  inline  ::uint64_t getPoolHash() const;
 
-  inline ::uint64_t getWorkTokens() const;
+  inline  ::uint64_t getWorkTokens() const;
 
-  inline ::uint64_t getCapacity() const;
+  inline  ::uint64_t getCapacity() const;
 
-  inline ::uint16_t getAgeMs() const;
+  inline  ::uint16_t getAgeMs() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3484,13 +3535,13 @@
 };
 
 class PoolSummary::Builder {
- public:
+public:
   typedef PoolSummary Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -3499,22 +3550,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getZoneHash();
-  inline void setZoneHash(::uint64_t value);
+  inline  ::uint64_t getZoneHash();
+  inline void setZoneHash( ::uint64_t value);
 
-  inline ::uint64_t getPoolHash();
-  inline void setPoolHash(::uint64_t value);
+  inline  ::uint64_t getPoolHash();
+  inline void setPoolHash( ::uint64_t value);
 
-  inline ::uint64_t getWorkTokens();
-  inline void setWorkTokens(::uint64_t value);
+  inline  ::uint64_t getWorkTokens();
+  inline void setWorkTokens( ::uint64_t value);
 
-  inline ::uint64_t getCapacity();
-  inline void setCapacity(::uint64_t value);
+  inline  ::uint64_t getCapacity();
+  inline void setCapacity( ::uint64_t value);
 
-  inline ::uint16_t getAgeMs();
-  inline void setAgeMs(::uint16_t value);
+  inline  ::uint16_t getAgeMs();
+  inline void setAgeMs( ::uint16_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3525,14 +3576,100 @@
 
 #if !CAPNP_LITE
 class PoolSummary::Pipeline {
- public:
+public:
   typedef PoolSummary Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class MemberStatus::Reader {
+public:
+  typedef MemberStatus Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getMemberKey() const;
+
+  inline  ::uint8_t getState() const;
+
+  inline  ::uint32_t getStateNumber() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class MemberStatus::Builder {
+public:
+  typedef MemberStatus Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getMemberKey();
+  inline void setMemberKey( ::uint64_t value);
+
+  inline  ::uint8_t getState();
+  inline void setState( ::uint8_t value);
+
+  inline  ::uint32_t getStateNumber();
+  inline void setStateNumber( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class MemberStatus::Pipeline {
+public:
+  typedef MemberStatus Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -3541,13 +3678,15 @@
 #endif  // !CAPNP_LITE
 
 class GossipDatagram::Reader {
- public:
+public:
   typedef GossipDatagram Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -3556,35 +3695,42 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasSender() const;
-  inline ::capnp::Text::Reader getSender() const;
+  inline  ::capnp::Text::Reader getSender() const;
 
-  inline ::uint64_t getSenderIncarnation() const;
+  inline  ::uint64_t getSenderIncarnation() const;
 
-  inline ::uint32_t getSequence() const;
+  inline  ::uint32_t getSequence() const;
 
   inline typename Kind::Reader getKind() const;
 
   inline bool hasConfiguration() const;
-  inline ::wagtailwind::rpc::schema::ConfigurationDigest::Reader getConfiguration() const;
+  inline  ::wagtailwind::rpc::schema::ConfigurationDigest::Reader getConfiguration() const;
 
   inline bool hasChange() const;
-  inline ::capnp::Data::Reader getChange() const;
+  inline  ::capnp::Data::Reader getChange() const;
 
   inline bool hasMembers() const;
-  inline ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>::Reader
-  getMembers() const;
+  inline  ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
 
   inline bool hasLoads() const;
-  inline ::capnp::List<::wagtailwind::rpc::schema::LoadRecord, ::capnp::Kind::STRUCT>::Reader
-  getLoads() const;
+  inline  ::capnp::List< ::wagtailwind::rpc::schema::LoadRecord,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
 
   inline bool hasPools() const;
-  inline ::capnp::List<::wagtailwind::rpc::schema::PoolSummary, ::capnp::Kind::STRUCT>::Reader
-  getPools() const;
+  inline  ::capnp::List< ::wagtailwind::rpc::schema::PoolSummary,  ::capnp::Kind::STRUCT>::Reader getPools() const;
+
+  inline  ::uint64_t getMembershipDigest() const;
+
+  inline bool hasStatuses() const;
+  inline  ::capnp::List< ::wagtailwind::rpc::schema::MemberStatus,  ::capnp::Kind::STRUCT>::Reader getStatuses() const;
+
+  inline bool getPullConfiguration() const;
+
+  inline bool getIntroduce() const;
 
-  inline ::uint64_t getMembershipDigest() const;
+  inline bool hasLoadWords() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getLoadWords() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3597,13 +3743,13 @@
 };
 
 class GossipDatagram::Builder {
- public:
+public:
   typedef GossipDatagram Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -3613,79 +3759,81 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasSender();
-  inline ::capnp::Text::Builder getSender();
-  inline void setSender(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initSender(unsigned int size);
-  inline void adoptSender(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownSender();
+  inline  ::capnp::Text::Builder getSender();
+  inline void setSender( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSender(unsigned int size);
+  inline void adoptSender(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSender();
 
-  inline ::uint64_t getSenderIncarnation();
-  inline void setSenderIncarnation(::uint64_t value);
+  inline  ::uint64_t getSenderIncarnation();
+  inline void setSenderIncarnation( ::uint64_t value);
 
-  inline ::uint32_t getSequence();
-  inline void setSequence(::uint32_t value);
+  inline  ::uint32_t getSequence();
+  inline void setSequence( ::uint32_t value);
 
   inline typename Kind::Builder getKind();
   inline typename Kind::Builder initKind();
 
   inline bool hasConfiguration();
-  inline ::wagtailwind::rpc::schema::ConfigurationDigest::Builder getConfiguration();
-  inline void setConfiguration(::wagtailwind::rpc::schema::ConfigurationDigest::Reader value);
-  inline ::wagtailwind::rpc::schema::ConfigurationDigest::Builder initConfiguration();
-  inline void adoptConfiguration(
-      ::capnp::Orphan<::wagtailwind::rpc::schema::ConfigurationDigest>&& value);
-  inline ::capnp::Orphan<::wagtailwind::rpc::schema::ConfigurationDigest> disownConfiguration();
+  inline  ::wagtailwind::rpc::schema::ConfigurationDigest::Builder getConfiguration();
+  inline void setConfiguration( ::wagtailwind::rpc::schema::ConfigurationDigest::Reader value);
+  inline  ::wagtailwind::rpc::schema::ConfigurationDigest::Builder initConfiguration();
+  inline void adoptConfiguration(::capnp::Orphan< ::wagtailwind::rpc::schema::ConfigurationDigest>&& value);
+  inline ::capnp::Orphan< ::wagtailwind::rpc::schema::ConfigurationDigest> disownConfiguration();
 
   inline bool hasChange();
-  inline ::capnp::Data::Builder getChange();
-  inline void setChange(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initChange(unsigned int size);
-  inline void adoptChange(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownChange();
+  inline  ::capnp::Data::Builder getChange();
+  inline void setChange( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initChange(unsigned int size);
+  inline void adoptChange(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownChange();
 
   inline bool hasMembers();
-  inline ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>::Builder
-  getMembers();
-  inline void setMembers(
-      ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>::Builder
-  initMembers(unsigned int size);
-  inline void adoptMembers(::capnp::Orphan<::capnp::List<::wagtailwind::rpc::schema::MemberRecord,
-                                                         ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-      ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>>
-  disownMembers();
+  inline  ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>> disownMembers();
 
   inline bool hasLoads();
-  inline ::capnp::List<::wagtailwind::rpc::schema::LoadRecord, ::capnp::Kind::STRUCT>::Builder
-  getLoads();
-  inline void setLoads(
-      ::capnp::List<::wagtailwind::rpc::schema::LoadRecord, ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::wagtailwind::rpc::schema::LoadRecord, ::capnp::Kind::STRUCT>::Builder
-  initLoads(unsigned int size);
-  inline void adoptLoads(::capnp::Orphan<::capnp::List<::wagtailwind::rpc::schema::LoadRecord,
-                                                       ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-      ::capnp::List<::wagtailwind::rpc::schema::LoadRecord, ::capnp::Kind::STRUCT>>
-  disownLoads();
+  inline  ::capnp::List< ::wagtailwind::rpc::schema::LoadRecord,  ::capnp::Kind::STRUCT>::Builder getLoads();
+  inline void setLoads( ::capnp::List< ::wagtailwind::rpc::schema::LoadRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::wagtailwind::rpc::schema::LoadRecord,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::wagtailwind::rpc::schema::LoadRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::wagtailwind::rpc::schema::LoadRecord,  ::capnp::Kind::STRUCT>> disownLoads();
 
   inline bool hasPools();
-  inline ::capnp::List<::wagtailwind::rpc::schema::PoolSummary, ::capnp::Kind::STRUCT>::Builder
-  getPools();
-  inline void setPools(
-      ::capnp::List<::wagtailwind::rpc::schema::PoolSummary, ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::wagtailwind::rpc::schema::PoolSummary, ::capnp::Kind::STRUCT>::Builder
-  initPools(unsigned int size);
-  inline void adoptPools(::capnp::Orphan<::capnp::List<::wagtailwind::rpc::schema::PoolSummary,
-                                                       ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-      ::capnp::List<::wagtailwind::rpc::schema::PoolSummary, ::capnp::Kind::STRUCT>>
-  disownPools();
-
-  inline ::uint64_t getMembershipDigest();
-  inline void setMembershipDigest(::uint64_t value);
-
- private:
+  inline  ::capnp::List< ::wagtailwind::rpc::schema::PoolSummary,  ::capnp::Kind::STRUCT>::Builder getPools();
+  inline void setPools( ::capnp::List< ::wagtailwind::rpc::schema::PoolSummary,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::wagtailwind::rpc::schema::PoolSummary,  ::capnp::Kind::STRUCT>::Builder initPools(unsigned int size);
+  inline void adoptPools(::capnp::Orphan< ::capnp::List< ::wagtailwind::rpc::schema::PoolSummary,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::wagtailwind::rpc::schema::PoolSummary,  ::capnp::Kind::STRUCT>> disownPools();
+
+  inline  ::uint64_t getMembershipDigest();
+  inline void setMembershipDigest( ::uint64_t value);
+
+  inline bool hasStatuses();
+  inline  ::capnp::List< ::wagtailwind::rpc::schema::MemberStatus,  ::capnp::Kind::STRUCT>::Builder getStatuses();
+  inline void setStatuses( ::capnp::List< ::wagtailwind::rpc::schema::MemberStatus,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::wagtailwind::rpc::schema::MemberStatus,  ::capnp::Kind::STRUCT>::Builder initStatuses(unsigned int size);
+  inline void adoptStatuses(::capnp::Orphan< ::capnp::List< ::wagtailwind::rpc::schema::MemberStatus,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::wagtailwind::rpc::schema::MemberStatus,  ::capnp::Kind::STRUCT>> disownStatuses();
+
+  inline bool getPullConfiguration();
+  inline void setPullConfiguration(bool value);
+
+  inline bool getIntroduce();
+  inline void setIntroduce(bool value);
+
+  inline bool hasLoadWords();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getLoadWords();
+  inline void setLoadWords( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setLoadWords(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initLoadWords(unsigned int size);
+  inline void adoptLoadWords(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownLoadWords();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3696,17 +3844,16 @@
 
 #if !CAPNP_LITE
 class GossipDatagram::Pipeline {
- public:
+public:
   typedef GossipDatagram Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
   inline typename Kind::Pipeline getKind();
-  inline ::wagtailwind::rpc::schema::ConfigurationDigest::Pipeline getConfiguration();
-
- private:
+  inline  ::wagtailwind::rpc::schema::ConfigurationDigest::Pipeline getConfiguration();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -3715,13 +3862,15 @@
 #endif  // !CAPNP_LITE
 
 class GossipDatagram::Kind::Reader {
- public:
+public:
   typedef Kind Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -3731,19 +3880,19 @@
 
   inline Which which() const;
   inline bool isProbe() const;
-  inline ::capnp::Void getProbe() const;
+  inline  ::capnp::Void getProbe() const;
 
   inline bool isAcknowledgement() const;
-  inline ::capnp::Void getAcknowledgement() const;
+  inline  ::capnp::Void getAcknowledgement() const;
 
   inline bool isProbeRequest() const;
   inline bool hasProbeRequest() const;
-  inline ::capnp::Text::Reader getProbeRequest() const;
+  inline  ::capnp::Text::Reader getProbeRequest() const;
 
   inline bool isPush() const;
-  inline ::capnp::Void getPush() const;
+  inline  ::capnp::Void getPush() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3756,13 +3905,13 @@
 };
 
 class GossipDatagram::Kind::Builder {
- public:
+public:
   typedef Kind Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -3773,26 +3922,26 @@
 
   inline Which which();
   inline bool isProbe();
-  inline ::capnp::Void getProbe();
-  inline void setProbe(::capnp::Void value = ::capnp::VOID);
+  inline  ::capnp::Void getProbe();
+  inline void setProbe( ::capnp::Void value = ::capnp::VOID);
 
   inline bool isAcknowledgement();
-  inline ::capnp::Void getAcknowledgement();
-  inline void setAcknowledgement(::capnp::Void value = ::capnp::VOID);
+  inline  ::capnp::Void getAcknowledgement();
+  inline void setAcknowledgement( ::capnp::Void value = ::capnp::VOID);
 
   inline bool isProbeRequest();
   inline bool hasProbeRequest();
-  inline ::capnp::Text::Builder getProbeRequest();
-  inline void setProbeRequest(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initProbeRequest(unsigned int size);
-  inline void adoptProbeRequest(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownProbeRequest();
+  inline  ::capnp::Text::Builder getProbeRequest();
+  inline void setProbeRequest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initProbeRequest(unsigned int size);
+  inline void adoptProbeRequest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownProbeRequest();
 
   inline bool isPush();
-  inline ::capnp::Void getPush();
-  inline void setPush(::capnp::Void value = ::capnp::VOID);
+  inline  ::capnp::Void getPush();
+  inline void setPush( ::capnp::Void value = ::capnp::VOID);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3803,14 +3952,14 @@
 
 #if !CAPNP_LITE
 class GossipDatagram::Kind::Pipeline {
- public:
+public:
   typedef Kind Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -3819,16 +3968,17 @@
 #endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class PeerService::Client : public virtual ::capnp::Capability::Client {
- public:
+class PeerService::Client
+    : public virtual ::capnp::Capability::Client {
+public:
   typedef PeerService Calls;
   typedef PeerService Reads;
 
   Client(decltype(nullptr));
-  explicit Client(::kj::Own<::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Server*>()>>
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
   Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Client*>()>>
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
   Client(::kj::Promise<_t>&& promise);
   Client(::kj::Exception&& exception);
   Client(Client&) = default;
@@ -3836,53 +3986,56 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request<::wagtailwind::rpc::schema::PeerService::MembersParams,
-                   ::wagtailwind::rpc::schema::PeerService::MembersResults>
-  membersRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::wagtailwind::rpc::schema::PeerService::ConfigurationParams,
-                   ::wagtailwind::rpc::schema::PeerService::ConfigurationResults>
-  configurationRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::wagtailwind::rpc::schema::PeerService::MembersParams,  ::wagtailwind::rpc::schema::PeerService::MembersResults> membersRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::wagtailwind::rpc::schema::PeerService::ConfigurationParams,  ::wagtailwind::rpc::schema::PeerService::ConfigurationResults> configurationRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
- protected:
+protected:
   Client() = default;
 };
 
-class PeerService::Server : public virtual ::capnp::Capability::Server {
- public:
+class PeerService::Server
+    : public virtual ::capnp::Capability::Server {
+public:
   typedef PeerService Serves;
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCall(
       uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context) override;
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
 
- protected:
-  typedef ::wagtailwind::rpc::schema::PeerService::MembersParams MembersParams;
-  typedef ::wagtailwind::rpc::schema::PeerService::MembersResults MembersResults;
+protected:
+  typedef  ::wagtailwind::rpc::schema::PeerService::MembersParams MembersParams;
+  typedef  ::wagtailwind::rpc::schema::PeerService::MembersResults MembersResults;
   typedef ::capnp::CallContext<MembersParams, MembersResults> MembersContext;
   virtual ::kj::Promise<void> members(MembersContext context);
-  typedef ::wagtailwind::rpc::schema::PeerService::ConfigurationParams ConfigurationParams;
-  typedef ::wagtailwind::rpc::schema::PeerService::ConfigurationResults ConfigurationResults;
+  typedef  ::wagtailwind::rpc::schema::PeerService::ConfigurationParams ConfigurationParams;
+  typedef  ::wagtailwind::rpc::schema::PeerService::ConfigurationResults ConfigurationResults;
   typedef ::capnp::CallContext<ConfigurationParams, ConfigurationResults> ConfigurationContext;
   virtual ::kj::Promise<void> configuration(ConfigurationContext context);
 
-  inline ::wagtailwind::rpc::schema::PeerService::Client thisCap() {
+  inline  ::wagtailwind::rpc::schema::PeerService::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
-        .template castAs<::wagtailwind::rpc::schema::PeerService>();
+        .template castAs< ::wagtailwind::rpc::schema::PeerService>();
   }
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId, ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
 #endif  // !CAPNP_LITE
 
 class PeerService::MembersParams::Reader {
- public:
+public:
   typedef MembersParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -3890,7 +4043,7 @@
   }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3903,13 +4056,13 @@
 };
 
 class PeerService::MembersParams::Builder {
- public:
+public:
   typedef MembersParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -3918,7 +4071,7 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3929,14 +4082,14 @@
 
 #if !CAPNP_LITE
 class PeerService::MembersParams::Pipeline {
- public:
+public:
   typedef MembersParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -3945,13 +4098,15 @@
 #endif  // !CAPNP_LITE
 
 class PeerService::MembersResults::Reader {
- public:
+public:
   typedef MembersResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -3960,10 +4115,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasMembers() const;
-  inline ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>::Reader
-  getMembers() const;
+  inline  ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3976,13 +4130,13 @@
 };
 
 class PeerService::MembersResults::Builder {
- public:
+public:
   typedef MembersResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -3992,19 +4146,13 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasMembers();
-  inline ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>::Builder
-  getMembers();
-  inline void setMembers(
-      ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>::Builder
-  initMembers(unsigned int size);
-  inline void adoptMembers(::capnp::Orphan<::capnp::List<::wagtailwind::rpc::schema::MemberRecord,
-                                                         ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-      ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>>
-  disownMembers();
-
- private:
+  inline  ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>> disownMembers();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -4015,14 +4163,14 @@
 
 #if !CAPNP_LITE
 class PeerService::MembersResults::Pipeline {
- public:
+public:
   typedef MembersResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -4031,13 +4179,15 @@
 #endif  // !CAPNP_LITE
 
 class PeerService::ConfigurationParams::Reader {
- public:
+public:
   typedef ConfigurationParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -4045,9 +4195,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getAfterVersion() const;
+  inline  ::uint64_t getAfterVersion() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -4060,13 +4210,13 @@
 };
 
 class PeerService::ConfigurationParams::Builder {
- public:
+public:
   typedef ConfigurationParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -4075,10 +4225,10 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getAfterVersion();
-  inline void setAfterVersion(::uint64_t value);
+  inline  ::uint64_t getAfterVersion();
+  inline void setAfterVersion( ::uint64_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -4089,14 +4239,14 @@
 
 #if !CAPNP_LITE
 class PeerService::ConfigurationParams::Pipeline {
- public:
+public:
   typedef ConfigurationParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -4105,13 +4255,15 @@
 #endif  // !CAPNP_LITE
 
 class PeerService::ConfigurationResults::Reader {
- public:
+public:
   typedef ConfigurationResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -4119,14 +4271,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getVersion() const;
+  inline  ::uint64_t getVersion() const;
 
   inline bool hasDocument() const;
-  inline ::capnp::Data::Reader getDocument() const;
+  inline  ::capnp::Data::Reader getDocument() const;
 
-  inline ::uint32_t getConfirmationAgeMs() const;
+  inline  ::uint32_t getConfirmationAgeMs() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -4139,13 +4291,13 @@
 };
 
 class PeerService::ConfigurationResults::Builder {
- public:
+public:
   typedef ConfigurationResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -4154,20 +4306,20 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getVersion();
-  inline void setVersion(::uint64_t value);
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
 
   inline bool hasDocument();
-  inline ::capnp::Data::Builder getDocument();
-  inline void setDocument(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initDocument(unsigned int size);
-  inline void adoptDocument(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownDocument();
+  inline  ::capnp::Data::Builder getDocument();
+  inline void setDocument( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initDocument(unsigned int size);
+  inline void adoptDocument(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownDocument();
 
-  inline ::uint32_t getConfirmationAgeMs();
-  inline void setConfirmationAgeMs(::uint32_t value);
+  inline  ::uint32_t getConfirmationAgeMs();
+  inline void setConfirmationAgeMs( ::uint32_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -4178,14 +4330,14 @@
 
 #if !CAPNP_LITE
 class PeerService::ConfigurationResults::Pipeline {
- public:
+public:
   typedef ConfigurationResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -4194,16 +4346,17 @@
 #endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class Bootstrap::Client : public virtual ::capnp::Capability::Client {
- public:
+class Bootstrap::Client
+    : public virtual ::capnp::Capability::Client {
+public:
   typedef Bootstrap Calls;
   typedef Bootstrap Reads;
 
   Client(decltype(nullptr));
-  explicit Client(::kj::Own<::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Server*>()>>
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
   Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Client*>()>>
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
   Client(::kj::Promise<_t>&& promise);
   Client(::kj::Exception&& exception);
   Client(Client&) = default;
@@ -4211,53 +4364,56 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request<::wagtailwind::rpc::schema::Bootstrap::AgentParams,
-                   ::wagtailwind::rpc::schema::Bootstrap::AgentResults>
-  agentRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::wagtailwind::rpc::schema::Bootstrap::PeerParams,
-                   ::wagtailwind::rpc::schema::Bootstrap::PeerResults>
-  peerRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::wagtailwind::rpc::schema::Bootstrap::AgentParams,  ::wagtailwind::rpc::schema::Bootstrap::AgentResults> agentRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::wagtailwind::rpc::schema::Bootstrap::PeerParams,  ::wagtailwind::rpc::schema::Bootstrap::PeerResults> peerRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
- protected:
+protected:
   Client() = default;
 };
 
-class Bootstrap::Server : public virtual ::capnp::Capability::Server {
- public:
+class Bootstrap::Server
+    : public virtual ::capnp::Capability::Server {
+public:
   typedef Bootstrap Serves;
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCall(
       uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context) override;
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
 
- protected:
-  typedef ::wagtailwind::rpc::schema::Bootstrap::AgentParams AgentParams;
-  typedef ::wagtailwind::rpc::schema::Bootstrap::AgentResults AgentResults;
+protected:
+  typedef  ::wagtailwind::rpc::schema::Bootstrap::AgentParams AgentParams;
+  typedef  ::wagtailwind::rpc::schema::Bootstrap::AgentResults AgentResults;
   typedef ::capnp::CallContext<AgentParams, AgentResults> AgentContext;
   virtual ::kj::Promise<void> agent(AgentContext context);
-  typedef ::wagtailwind::rpc::schema::Bootstrap::PeerParams PeerParams;
-  typedef ::wagtailwind::rpc::schema::Bootstrap::PeerResults PeerResults;
+  typedef  ::wagtailwind::rpc::schema::Bootstrap::PeerParams PeerParams;
+  typedef  ::wagtailwind::rpc::schema::Bootstrap::PeerResults PeerResults;
   typedef ::capnp::CallContext<PeerParams, PeerResults> PeerContext;
   virtual ::kj::Promise<void> peer(PeerContext context);
 
-  inline ::wagtailwind::rpc::schema::Bootstrap::Client thisCap() {
+  inline  ::wagtailwind::rpc::schema::Bootstrap::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
-        .template castAs<::wagtailwind::rpc::schema::Bootstrap>();
+        .template castAs< ::wagtailwind::rpc::schema::Bootstrap>();
   }
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId, ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
 #endif  // !CAPNP_LITE
 
 class Bootstrap::AgentParams::Reader {
- public:
+public:
   typedef AgentParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -4265,7 +4421,7 @@
   }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -4278,13 +4434,13 @@
 };
 
 class Bootstrap::AgentParams::Builder {
- public:
+public:
   typedef AgentParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -4293,7 +4449,7 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -4304,14 +4460,14 @@
 
 #if !CAPNP_LITE
 class Bootstrap::AgentParams::Pipeline {
- public:
+public:
   typedef AgentParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -4320,13 +4476,15 @@
 #endif  // !CAPNP_LITE
 
 class Bootstrap::AgentResults::Reader {
- public:
+public:
   typedef AgentResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -4336,10 +4494,10 @@
 
   inline bool hasAgent() const;
 #if !CAPNP_LITE
-  inline ::wagtailwind::rpc::schema::AgentService::Client getAgent() const;
+  inline  ::wagtailwind::rpc::schema::AgentService::Client getAgent() const;
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -4352,13 +4510,13 @@
 };
 
 class Bootstrap::AgentResults::Builder {
- public:
+public:
   typedef AgentResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -4369,14 +4527,14 @@
 
   inline bool hasAgent();
 #if !CAPNP_LITE
-  inline ::wagtailwind::rpc::schema::AgentService::Client getAgent();
-  inline void setAgent(::wagtailwind::rpc::schema::AgentService::Client&& value);
-  inline void setAgent(::wagtailwind::rpc::schema::AgentService::Client& value);
-  inline void adoptAgent(::capnp::Orphan<::wagtailwind::rpc::schema::AgentService>&& value);
-  inline ::capnp::Orphan<::wagtailwind::rpc::schema::AgentService> disownAgent();
+  inline  ::wagtailwind::rpc::schema::AgentService::Client getAgent();
+  inline void setAgent( ::wagtailwind::rpc::schema::AgentService::Client&& value);
+  inline void setAgent( ::wagtailwind::rpc::schema::AgentService::Client& value);
+  inline void adoptAgent(::capnp::Orphan< ::wagtailwind::rpc::schema::AgentService>&& value);
+  inline ::capnp::Orphan< ::wagtailwind::rpc::schema::AgentService> disownAgent();
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -4387,16 +4545,15 @@
 
 #if !CAPNP_LITE
 class Bootstrap::AgentResults::Pipeline {
- public:
+public:
   typedef AgentResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::wagtailwind::rpc::schema::AgentService::Client getAgent();
-
- private:
+  inline  ::wagtailwind::rpc::schema::AgentService::Client getAgent();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -4405,13 +4562,15 @@
 #endif  // !CAPNP_LITE
 
 class Bootstrap::PeerParams::Reader {
- public:
+public:
   typedef PeerParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -4419,7 +4578,7 @@
   }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -4432,13 +4591,13 @@
 };
 
 class Bootstrap::PeerParams::Builder {
- public:
+public:
   typedef PeerParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -4447,7 +4606,7 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
