@@ -4458,14 +4617,14 @@
 
 #if !CAPNP_LITE
 class Bootstrap::PeerParams::Pipeline {
- public:
+public:
   typedef PeerParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -4474,13 +4633,15 @@
 #endif  // !CAPNP_LITE
 
 class Bootstrap::PeerResults::Reader {
- public:
+public:
   typedef PeerResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -4490,10 +4651,10 @@
 
   inline bool hasPeer() const;
 #if !CAPNP_LITE
-  inline ::wagtailwind::rpc::schema::PeerService::Client getPeer() const;
+  inline  ::wagtailwind::rpc::schema::PeerService::Client getPeer() const;
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -4506,13 +4667,13 @@
 };
 
 class Bootstrap::PeerResults::Builder {
- public:
+public:
   typedef PeerResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -4523,14 +4684,14 @@
 
   inline bool hasPeer();
 #if !CAPNP_LITE
-  inline ::wagtailwind::rpc::schema::PeerService::Client getPeer();
-  inline void setPeer(::wagtailwind::rpc::schema::PeerService::Client&& value);
-  inline void setPeer(::wagtailwind::rpc::schema::PeerService::Client& value);
-  inline void adoptPeer(::capnp::Orphan<::wagtailwind::rpc::schema::PeerService>&& value);
-  inline ::capnp::Orphan<::wagtailwind::rpc::schema::PeerService> disownPeer();
+  inline  ::wagtailwind::rpc::schema::PeerService::Client getPeer();
+  inline void setPeer( ::wagtailwind::rpc::schema::PeerService::Client&& value);
+  inline void setPeer( ::wagtailwind::rpc::schema::PeerService::Client& value);
+  inline void adoptPeer(::capnp::Orphan< ::wagtailwind::rpc::schema::PeerService>&& value);
+  inline ::capnp::Orphan< ::wagtailwind::rpc::schema::PeerService> disownPeer();
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -4541,16 +4702,15 @@
 
 #if !CAPNP_LITE
 class Bootstrap::PeerResults::Pipeline {
- public:
+public:
   typedef PeerResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::wagtailwind::rpc::schema::PeerService::Client getPeer();
-
- private:
+  inline  ::wagtailwind::rpc::schema::PeerService::Client getPeer();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -4561,1042 +4721,1168 @@
 // =======================================================================================
 
 inline bool Header::Reader::hasName() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Header::Builder::hasName() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Header::Reader::getName() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Header::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Header::Builder::getName() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Header::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Header::Builder::setName(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Header::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Header::Builder::initName(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Header::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Header::Builder::adoptName(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Header::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Header::Builder::disownName() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Header::Reader::hasValue() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Header::Builder::hasValue() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Header::Reader::getValue() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Header::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Header::Builder::getValue() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Header::Builder::getValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Header::Builder::setValue(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Header::Builder::setValue( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Header::Builder::initValue(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Header::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Header::Builder::adoptValue(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Header::Builder::adoptValue(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Header::Builder::disownValue() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool ChatCall::Reader::hasModel() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool ChatCall::Builder::hasModel() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ChatCall::Reader::getModel() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ChatCall::Reader::getModel() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ChatCall::Builder::getModel() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ChatCall::Builder::getModel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ChatCall::Builder::setModel(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void ChatCall::Builder::setModel( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ChatCall::Builder::initModel(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder ChatCall::Builder::initModel(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ChatCall::Builder::adoptModel(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void ChatCall::Builder::adoptModel(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ChatCall::Builder::disownModel() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ChatCall::Builder::disownModel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool ChatCall::Reader::hasAdapter() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool ChatCall::Builder::hasAdapter() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ChatCall::Reader::getAdapter() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ChatCall::Reader::getAdapter() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ChatCall::Builder::getAdapter() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ChatCall::Builder::getAdapter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ChatCall::Builder::setAdapter(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void ChatCall::Builder::setAdapter( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ChatCall::Builder::initAdapter(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder ChatCall::Builder::initAdapter(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void ChatCall::Builder::adoptAdapter(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void ChatCall::Builder::adoptAdapter(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ChatCall::Builder::disownAdapter() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ChatCall::Builder::disownAdapter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool ChatCall::Reader::hasChat() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool ChatCall::Builder::hasChat() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ChatCall::Reader::getChat() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ChatCall::Reader::getChat() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ChatCall::Builder::getChat() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ChatCall::Builder::getChat() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void ChatCall::Builder::setChat(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void ChatCall::Builder::setChat( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ChatCall::Builder::initChat(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder ChatCall::Builder::initChat(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void ChatCall::Builder::adoptChat(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void ChatCall::Builder::adoptChat(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ChatCall::Builder::disownChat() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ChatCall::Builder::disownChat() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool ChatCall::Reader::hasBody() const {
-  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool ChatCall::Builder::hasBody() {
-  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader ChatCall::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader ChatCall::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder ChatCall::Builder::getBody() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder ChatCall::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void ChatCall::Builder::setBody(::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void ChatCall::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder ChatCall::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder ChatCall::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void ChatCall::Builder::adoptBody(::capnp::Orphan<::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void ChatCall::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> ChatCall::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> ChatCall::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool ChatCall::Reader::getStream() const {
-  return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline bool ChatCall::Builder::getStream() {
-  return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void ChatCall::Builder::setStream(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t ChatCall::Reader::getPromptTokens() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t ChatCall::Reader::getPromptTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t ChatCall::Builder::getPromptTokens() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t ChatCall::Builder::getPromptTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ChatCall::Builder::setPromptTokens(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void ChatCall::Builder::setPromptTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t ChatCall::Reader::getMaxOutputTokens() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t ChatCall::Reader::getMaxOutputTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t ChatCall::Builder::getMaxOutputTokens() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t ChatCall::Builder::getMaxOutputTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ChatCall::Builder::setMaxOutputTokens(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void ChatCall::Builder::setMaxOutputTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t ChatCall::Reader::getPrefixHash() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t ChatCall::Reader::getPrefixHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t ChatCall::Builder::getPrefixHash() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t ChatCall::Builder::getPrefixHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ChatCall::Builder::setPrefixHash(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void ChatCall::Builder::setPrefixHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool ChatCall::Reader::getLastResort() const {
-  return _reader.getDataField<bool>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
 inline bool ChatCall::Builder::getLastResort() {
-  return _builder.getDataField<bool>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 inline void ChatCall::Builder::setLastResort(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool ServiceCall::Reader::hasService() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool ServiceCall::Builder::hasService() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ServiceCall::Reader::getService() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ServiceCall::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ServiceCall::Builder::getService() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ServiceCall::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ServiceCall::Builder::setService(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void ServiceCall::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ServiceCall::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder ServiceCall::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ServiceCall::Builder::adoptService(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void ServiceCall::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ServiceCall::Builder::disownService() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ServiceCall::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool ServiceCall::Reader::hasMethod() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool ServiceCall::Builder::hasMethod() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ServiceCall::Reader::getMethod() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ServiceCall::Reader::getMethod() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ServiceCall::Builder::getMethod() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ServiceCall::Builder::getMethod() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ServiceCall::Builder::setMethod(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void ServiceCall::Builder::setMethod( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ServiceCall::Builder::initMethod(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder ServiceCall::Builder::initMethod(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void ServiceCall::Builder::adoptMethod(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void ServiceCall::Builder::adoptMethod(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ServiceCall::Builder::disownMethod() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ServiceCall::Builder::disownMethod() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool ServiceCall::Reader::hasPath() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool ServiceCall::Builder::hasPath() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ServiceCall::Reader::getPath() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ServiceCall::Reader::getPath() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ServiceCall::Builder::getPath() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ServiceCall::Builder::getPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void ServiceCall::Builder::setPath(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void ServiceCall::Builder::setPath( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ServiceCall::Builder::initPath(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder ServiceCall::Builder::initPath(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void ServiceCall::Builder::adoptPath(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void ServiceCall::Builder::adoptPath(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ServiceCall::Builder::disownPath() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ServiceCall::Builder::disownPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool ServiceCall::Reader::hasHeaders() const {
-  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool ServiceCall::Builder::hasHeaders() {
-  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>::Reader
-ServiceCall::Reader::getHeaders() const {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>>::get(
-          _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>::Builder
-ServiceCall::Builder::getHeaders() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>>::get(
-          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void ServiceCall::Builder::setHeaders(
-    ::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>>::set(
-          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>::Builder
-ServiceCall::Builder::initHeaders(unsigned int size) {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Reader ServiceCall::Reader::getHeaders() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Builder ServiceCall::Builder::getHeaders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void ServiceCall::Builder::setHeaders( ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Builder ServiceCall::Builder::initHeaders(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void ServiceCall::Builder::adoptHeaders(
-    ::capnp::Orphan<::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>>&&
-        value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>>
-ServiceCall::Builder::disownHeaders() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>>::
-      disown(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>> ServiceCall::Builder::disownHeaders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool ServiceCall::Reader::hasBody() const {
-  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool ServiceCall::Builder::hasBody() {
-  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader ServiceCall::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader ServiceCall::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder ServiceCall::Builder::getBody() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder ServiceCall::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void ServiceCall::Builder::setBody(::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void ServiceCall::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder ServiceCall::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder ServiceCall::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void ServiceCall::Builder::adoptBody(::capnp::Orphan<::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline void ServiceCall::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> ServiceCall::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> ServiceCall::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
 inline bool ServiceCall::Reader::getRepeatable() const {
-  return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline bool ServiceCall::Builder::getRepeatable() {
-  return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void ServiceCall::Builder::setRepeatable(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::wagtailwind::rpc::schema::Call::Which Call::Reader::which() const {
-  return _reader.getDataField<Which>(::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline  ::wagtailwind::rpc::schema::Call::Which Call::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
-inline ::wagtailwind::rpc::schema::Call::Which Call::Builder::which() {
-  return _builder.getDataField<Which>(::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline  ::wagtailwind::rpc::schema::Call::Which Call::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
 
 inline bool Call::Reader::hasRequestId() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Call::Builder::hasRequestId() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader Call::Reader::getRequestId() const {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader Call::Reader::getRequestId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder Call::Builder::getRequestId() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder Call::Builder::getRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Call::Builder::setRequestId(::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Call::Builder::setRequestId( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder Call::Builder::initRequestId(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder Call::Builder::initRequestId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Call::Builder::adoptRequestId(::capnp::Orphan<::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Call::Builder::adoptRequestId(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> Call::Builder::disownRequestId() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> Call::Builder::disownRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t Call::Reader::getAttempt() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Call::Reader::getAttempt() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Call::Builder::getAttempt() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Call::Builder::getAttempt() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Call::Builder::setAttempt(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Call::Builder::setAttempt( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Call::Reader::getRouterIncarnation() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Call::Reader::getRouterIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Call::Builder::getRouterIncarnation() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Call::Builder::getRouterIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Call::Builder::setRouterIncarnation(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Call::Builder::setRouterIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Call::Reader::getAgentIncarnation() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Call::Reader::getAgentIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Call::Builder::getAgentIncarnation() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Call::Builder::getAgentIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Call::Builder::setAgentIncarnation(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Call::Builder::setAgentIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Call::Reader::hasOrganisation() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Call::Builder::hasOrganisation() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Call::Reader::getOrganisation() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Call::Reader::getOrganisation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Call::Builder::getOrganisation() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Call::Builder::getOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Call::Builder::setOrganisation(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Call::Builder::setOrganisation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Call::Builder::initOrganisation(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Call::Builder::initOrganisation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Call::Builder::adoptOrganisation(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Call::Builder::adoptOrganisation(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Call::Builder::disownOrganisation() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Call::Builder::disownOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool Call::Reader::hasPriorityClass() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool Call::Builder::hasPriorityClass() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Call::Reader::getPriorityClass() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Call::Reader::getPriorityClass() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Call::Builder::getPriorityClass() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Call::Builder::getPriorityClass() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Call::Builder::setPriorityClass(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void Call::Builder::setPriorityClass( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Call::Builder::initPriorityClass(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Call::Builder::initPriorityClass(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Call::Builder::adoptPriorityClass(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void Call::Builder::adoptPriorityClass(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Call::Builder::disownPriorityClass() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Call::Builder::disownPriorityClass() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t Call::Reader::getDeadlineMs() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Call::Reader::getDeadlineMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Call::Builder::getDeadlineMs() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Call::Builder::getDeadlineMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Call::Builder::setDeadlineMs(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Call::Builder::setDeadlineMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Call::Reader::hasRequestKey() const {
-  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool Call::Builder::hasRequestKey() {
-  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Call::Reader::getRequestKey() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Call::Reader::getRequestKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Call::Builder::getRequestKey() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Call::Builder::getRequestKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Call::Builder::setRequestKey(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void Call::Builder::setRequestKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Call::Builder::initRequestKey(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Call::Builder::initRequestKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Call::Builder::adoptRequestKey(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void Call::Builder::adoptRequestKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Call::Builder::disownRequestKey() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Call::Builder::disownRequestKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t Call::Reader::getConfigurationVersion() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Call::Reader::getConfigurationVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Call::Builder::getConfigurationVersion() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Call::Builder::getConfigurationVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Call::Builder::setConfigurationVersion(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void Call::Builder::setConfigurationVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Call::Reader::isChat() const { return which() == Call::CHAT; }
-inline bool Call::Builder::isChat() { return which() == Call::CHAT; }
+inline bool Call::Reader::isChat() const {
+  return which() == Call::CHAT;
+}
+inline bool Call::Builder::isChat() {
+  return which() == Call::CHAT;
+}
 inline bool Call::Reader::hasChat() const {
   if (which() != Call::CHAT) return false;
-  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool Call::Builder::hasChat() {
   if (which() != Call::CHAT) return false;
-  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline ::wagtailwind::rpc::schema::ChatCall::Reader Call::Reader::getChat() const {
-  KJ_IREQUIRE((which() == Call::CHAT), "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::ChatCall>::get(
-      _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::ChatCall::Reader Call::Reader::getChat() const {
+  KJ_IREQUIRE((which() == Call::CHAT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::ChatCall>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline ::wagtailwind::rpc::schema::ChatCall::Builder Call::Builder::getChat() {
-  KJ_IREQUIRE((which() == Call::CHAT), "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::ChatCall>::get(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::ChatCall::Builder Call::Builder::getChat() {
+  KJ_IREQUIRE((which() == Call::CHAT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::ChatCall>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void Call::Builder::setChat(::wagtailwind::rpc::schema::ChatCall::Reader value) {
-  _builder.setDataField<Call::Which>(::capnp::bounded<16>() * ::capnp::ELEMENTS, Call::CHAT);
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::ChatCall>::set(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void Call::Builder::setChat( ::wagtailwind::rpc::schema::ChatCall::Reader value) {
+  _builder.setDataField<Call::Which>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, Call::CHAT);
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::ChatCall>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline ::wagtailwind::rpc::schema::ChatCall::Builder Call::Builder::initChat() {
-  _builder.setDataField<Call::Which>(::capnp::bounded<16>() * ::capnp::ELEMENTS, Call::CHAT);
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::ChatCall>::init(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::ChatCall::Builder Call::Builder::initChat() {
+  _builder.setDataField<Call::Which>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, Call::CHAT);
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::ChatCall>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 inline void Call::Builder::adoptChat(
-    ::capnp::Orphan<::wagtailwind::rpc::schema::ChatCall>&& value) {
-  _builder.setDataField<Call::Which>(::capnp::bounded<16>() * ::capnp::ELEMENTS, Call::CHAT);
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::ChatCall>::adopt(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::wagtailwind::rpc::schema::ChatCall> Call::Builder::disownChat() {
-  KJ_IREQUIRE((which() == Call::CHAT), "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::ChatCall>::disown(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::wagtailwind::rpc::schema::ChatCall>&& value) {
+  _builder.setDataField<Call::Which>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, Call::CHAT);
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::ChatCall>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wagtailwind::rpc::schema::ChatCall> Call::Builder::disownChat() {
+  KJ_IREQUIRE((which() == Call::CHAT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::ChatCall>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool Call::Reader::isService() const { return which() == Call::SERVICE; }
-inline bool Call::Builder::isService() { return which() == Call::SERVICE; }
+inline bool Call::Reader::isService() const {
+  return which() == Call::SERVICE;
+}
+inline bool Call::Builder::isService() {
+  return which() == Call::SERVICE;
+}
 inline bool Call::Reader::hasService() const {
   if (which() != Call::SERVICE) return false;
-  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool Call::Builder::hasService() {
   if (which() != Call::SERVICE) return false;
-  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline ::wagtailwind::rpc::schema::ServiceCall::Reader Call::Reader::getService() const {
-  KJ_IREQUIRE((which() == Call::SERVICE), "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::ServiceCall>::get(
-      _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::ServiceCall::Reader Call::Reader::getService() const {
+  KJ_IREQUIRE((which() == Call::SERVICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::ServiceCall>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline ::wagtailwind::rpc::schema::ServiceCall::Builder Call::Builder::getService() {
-  KJ_IREQUIRE((which() == Call::SERVICE), "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::ServiceCall>::get(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::ServiceCall::Builder Call::Builder::getService() {
+  KJ_IREQUIRE((which() == Call::SERVICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::ServiceCall>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void Call::Builder::setService(::wagtailwind::rpc::schema::ServiceCall::Reader value) {
-  _builder.setDataField<Call::Which>(::capnp::bounded<16>() * ::capnp::ELEMENTS, Call::SERVICE);
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::ServiceCall>::set(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void Call::Builder::setService( ::wagtailwind::rpc::schema::ServiceCall::Reader value) {
+  _builder.setDataField<Call::Which>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, Call::SERVICE);
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::ServiceCall>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline ::wagtailwind::rpc::schema::ServiceCall::Builder Call::Builder::initService() {
-  _builder.setDataField<Call::Which>(::capnp::bounded<16>() * ::capnp::ELEMENTS, Call::SERVICE);
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::ServiceCall>::init(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::ServiceCall::Builder Call::Builder::initService() {
+  _builder.setDataField<Call::Which>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, Call::SERVICE);
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::ServiceCall>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 inline void Call::Builder::adoptService(
-    ::capnp::Orphan<::wagtailwind::rpc::schema::ServiceCall>&& value) {
-  _builder.setDataField<Call::Which>(::capnp::bounded<16>() * ::capnp::ELEMENTS, Call::SERVICE);
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::ServiceCall>::adopt(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::wagtailwind::rpc::schema::ServiceCall> Call::Builder::disownService() {
-  KJ_IREQUIRE((which() == Call::SERVICE), "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::ServiceCall>::disown(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::wagtailwind::rpc::schema::ServiceCall>&& value) {
+  _builder.setDataField<Call::Which>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, Call::SERVICE);
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::ServiceCall>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wagtailwind::rpc::schema::ServiceCall> Call::Builder::disownService() {
+  KJ_IREQUIRE((which() == Call::SERVICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::ServiceCall>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline ::wagtailwind::rpc::schema::Admission::Which Admission::Reader::which() const {
-  return _reader.getDataField<Which>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::wagtailwind::rpc::schema::Admission::Which Admission::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline ::wagtailwind::rpc::schema::Admission::Which Admission::Builder::which() {
-  return _builder.getDataField<Which>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::wagtailwind::rpc::schema::Admission::Which Admission::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
 inline bool Admission::Reader::hasRequestId() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Admission::Builder::hasRequestId() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader Admission::Reader::getRequestId() const {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader Admission::Reader::getRequestId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder Admission::Builder::getRequestId() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder Admission::Builder::getRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Admission::Builder::setRequestId(::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Admission::Builder::setRequestId( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder Admission::Builder::initRequestId(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder Admission::Builder::initRequestId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Admission::Builder::adoptRequestId(::capnp::Orphan<::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Admission::Builder::adoptRequestId(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> Admission::Builder::disownRequestId() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> Admission::Builder::disownRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t Admission::Reader::getAttempt() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Admission::Reader::getAttempt() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Admission::Builder::getAttempt() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Admission::Builder::getAttempt() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Admission::Builder::setAttempt(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Admission::Builder::setAttempt( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Admission::Reader::getAgentIncarnation() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Admission::Reader::getAgentIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Admission::Builder::getAgentIncarnation() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Admission::Builder::getAgentIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Admission::Builder::setAgentIncarnation(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Admission::Builder::setAgentIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Admission::Reader::isAdmitted() const { return which() == Admission::ADMITTED; }
-inline bool Admission::Builder::isAdmitted() { return which() == Admission::ADMITTED; }
+inline bool Admission::Reader::isAdmitted() const {
+  return which() == Admission::ADMITTED;
+}
+inline bool Admission::Builder::isAdmitted() {
+  return which() == Admission::ADMITTED;
+}
 inline bool Admission::Reader::hasAdmitted() const {
   if (which() != Admission::ADMITTED) return false;
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Admission::Builder::hasAdmitted() {
   if (which() != Admission::ADMITTED) return false;
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Admission::Reader::getAdmitted() const {
+inline  ::capnp::Text::Reader Admission::Reader::getAdmitted() const {
   KJ_IREQUIRE((which() == Admission::ADMITTED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Admission::Builder::getAdmitted() {
+inline  ::capnp::Text::Builder Admission::Builder::getAdmitted() {
   KJ_IREQUIRE((which() == Admission::ADMITTED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Admission::Builder::setAdmitted(::capnp::Text::Reader value) {
-  _builder.setDataField<Admission::Which>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                          Admission::ADMITTED);
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder Admission::Builder::initAdmitted(unsigned int size) {
-  _builder.setDataField<Admission::Which>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                          Admission::ADMITTED);
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Admission::Builder::adoptAdmitted(::capnp::Orphan<::capnp::Text>&& value) {
-  _builder.setDataField<Admission::Which>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                          Admission::ADMITTED);
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> Admission::Builder::disownAdmitted() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Admission::Builder::setAdmitted( ::capnp::Text::Reader value) {
+  _builder.setDataField<Admission::Which>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, Admission::ADMITTED);
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Admission::Builder::initAdmitted(unsigned int size) {
+  _builder.setDataField<Admission::Which>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, Admission::ADMITTED);
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Admission::Builder::adoptAdmitted(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  _builder.setDataField<Admission::Which>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, Admission::ADMITTED);
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Admission::Builder::disownAdmitted() {
   KJ_IREQUIRE((which() == Admission::ADMITTED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Admission::Reader::isRefused() const { return which() == Admission::REFUSED; }
-inline bool Admission::Builder::isRefused() { return which() == Admission::REFUSED; }
+inline bool Admission::Reader::isRefused() const {
+  return which() == Admission::REFUSED;
+}
+inline bool Admission::Builder::isRefused() {
+  return which() == Admission::REFUSED;
+}
 inline bool Admission::Reader::hasRefused() const {
   if (which() != Admission::REFUSED) return false;
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Admission::Builder::hasRefused() {
   if (which() != Admission::REFUSED) return false;
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::wagtailwind::rpc::schema::Refusal::Reader Admission::Reader::getRefused() const {
+inline  ::wagtailwind::rpc::schema::Refusal::Reader Admission::Reader::getRefused() const {
   KJ_IREQUIRE((which() == Admission::REFUSED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::Refusal>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::Refusal>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::wagtailwind::rpc::schema::Refusal::Builder Admission::Builder::getRefused() {
+inline  ::wagtailwind::rpc::schema::Refusal::Builder Admission::Builder::getRefused() {
   KJ_IREQUIRE((which() == Admission::REFUSED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::Refusal>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::Refusal>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Admission::Builder::setRefused(::wagtailwind::rpc::schema::Refusal::Reader value) {
-  _builder.setDataField<Admission::Which>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                          Admission::REFUSED);
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::Refusal>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Admission::Builder::setRefused( ::wagtailwind::rpc::schema::Refusal::Reader value) {
+  _builder.setDataField<Admission::Which>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, Admission::REFUSED);
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::Refusal>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::wagtailwind::rpc::schema::Refusal::Builder Admission::Builder::initRefused() {
-  _builder.setDataField<Admission::Which>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                          Admission::REFUSED);
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::Refusal>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::Refusal::Builder Admission::Builder::initRefused() {
+  _builder.setDataField<Admission::Which>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, Admission::REFUSED);
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::Refusal>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void Admission::Builder::adoptRefused(
-    ::capnp::Orphan<::wagtailwind::rpc::schema::Refusal>&& value) {
-  _builder.setDataField<Admission::Which>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                          Admission::REFUSED);
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::Refusal>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::wagtailwind::rpc::schema::Refusal>&& value) {
+  _builder.setDataField<Admission::Which>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, Admission::REFUSED);
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::Refusal>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::wagtailwind::rpc::schema::Refusal> Admission::Builder::disownRefused() {
+inline ::capnp::Orphan< ::wagtailwind::rpc::schema::Refusal> Admission::Builder::disownRefused() {
   KJ_IREQUIRE((which() == Admission::REFUSED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::Refusal>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::Refusal>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::uint8_t Refusal::Reader::getReason() const {
-  return _reader.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint8_t Refusal::Reader::getReason() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint8_t Refusal::Builder::getReason() {
-  return _builder.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint8_t Refusal::Builder::getReason() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Refusal::Builder::setReason(::uint8_t value) {
-  _builder.setDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Refusal::Builder::setReason( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t Refusal::Reader::getRetryAfterMs() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Refusal::Reader::getRetryAfterMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Refusal::Builder::getRetryAfterMs() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Refusal::Builder::getRetryAfterMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Refusal::Builder::setRetryAfterMs(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Refusal::Builder::setRetryAfterMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Refusal::Reader::hasRedirects() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Refusal::Builder::hasRedirects() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader Refusal::Reader::getRedirects()
-    const {
-  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Refusal::Reader::getRedirects() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder Refusal::Builder::getRedirects() {
-  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Refusal::Builder::getRedirects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Refusal::Builder::setRedirects(
-    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Refusal::Builder::setRedirects( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Refusal::Builder::setRedirects(::kj::ArrayPtr<const ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Refusal::Builder::setRedirects(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder Refusal::Builder::initRedirects(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Refusal::Builder::initRedirects(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Refusal::Builder::adoptRedirects(
-    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-Refusal::Builder::disownRedirects() {
-  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Refusal::Builder::disownRedirects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::wagtailwind::rpc::schema::Outcome Refusal::Reader::getOutcome() const {
-  return _reader.getDataField<::wagtailwind::rpc::schema::Outcome>(::capnp::bounded<1>() *
-                                                                   ::capnp::ELEMENTS);
+inline  ::wagtailwind::rpc::schema::Outcome Refusal::Reader::getOutcome() const {
+  return _reader.getDataField< ::wagtailwind::rpc::schema::Outcome>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::wagtailwind::rpc::schema::Outcome Refusal::Builder::getOutcome() {
-  return _builder.getDataField<::wagtailwind::rpc::schema::Outcome>(::capnp::bounded<1>() *
-                                                                    ::capnp::ELEMENTS);
+inline  ::wagtailwind::rpc::schema::Outcome Refusal::Builder::getOutcome() {
+  return _builder.getDataField< ::wagtailwind::rpc::schema::Outcome>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Refusal::Builder::setOutcome(::wagtailwind::rpc::schema::Outcome value) {
-  _builder.setDataField<::wagtailwind::rpc::schema::Outcome>(
+inline void Refusal::Builder::setOutcome( ::wagtailwind::rpc::schema::Outcome value) {
+  _builder.setDataField< ::wagtailwind::rpc::schema::Outcome>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t AnswerHead::Reader::getStatus() const {
-  return _reader.getDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint16_t AnswerHead::Reader::getStatus() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t AnswerHead::Builder::getStatus() {
-  return _builder.getDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint16_t AnswerHead::Builder::getStatus() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AnswerHead::Builder::setStatus(::uint16_t value) {
-  _builder.setDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void AnswerHead::Builder::setStatus( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool AnswerHead::Reader::hasHeaders() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool AnswerHead::Builder::hasHeaders() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>::Reader
-AnswerHead::Reader::getHeaders() const {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>>::get(
-          _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>::Builder
-AnswerHead::Builder::getHeaders() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>>::get(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void AnswerHead::Builder::setHeaders(
-    ::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>>::set(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>::Builder
-AnswerHead::Builder::initHeaders(unsigned int size) {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Reader AnswerHead::Reader::getHeaders() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Builder AnswerHead::Builder::getHeaders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AnswerHead::Builder::setHeaders( ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Builder AnswerHead::Builder::initHeaders(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void AnswerHead::Builder::adoptHeaders(
-    ::capnp::Orphan<::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>>&&
-        value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>>
-AnswerHead::Builder::disownHeaders() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::wagtailwind::rpc::schema::Header, ::capnp::Kind::STRUCT>>::
-      disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>> AnswerHead::Builder::disownHeaders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::Header,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t AnswerHead::Reader::getCachedTokens() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t AnswerHead::Reader::getCachedTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t AnswerHead::Builder::getCachedTokens() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t AnswerHead::Builder::getCachedTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void AnswerHead::Builder::setCachedTokens(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void AnswerHead::Builder::setCachedTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool AnswerEnd::Reader::getComplete() const {
-  return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline bool AnswerEnd::Builder::getComplete() {
-  return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void AnswerEnd::Builder::setComplete(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::wagtailwind::rpc::schema::Outcome AnswerEnd::Reader::getOutcome() const {
-  return _reader.getDataField<::wagtailwind::rpc::schema::Outcome>(::capnp::bounded<1>() *
-                                                                   ::capnp::ELEMENTS);
+inline  ::wagtailwind::rpc::schema::Outcome AnswerEnd::Reader::getOutcome() const {
+  return _reader.getDataField< ::wagtailwind::rpc::schema::Outcome>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::wagtailwind::rpc::schema::Outcome AnswerEnd::Builder::getOutcome() {
-  return _builder.getDataField<::wagtailwind::rpc::schema::Outcome>(::capnp::bounded<1>() *
-                                                                    ::capnp::ELEMENTS);
+inline  ::wagtailwind::rpc::schema::Outcome AnswerEnd::Builder::getOutcome() {
+  return _builder.getDataField< ::wagtailwind::rpc::schema::Outcome>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void AnswerEnd::Builder::setOutcome(::wagtailwind::rpc::schema::Outcome value) {
-  _builder.setDataField<::wagtailwind::rpc::schema::Outcome>(
+inline void AnswerEnd::Builder::setOutcome( ::wagtailwind::rpc::schema::Outcome value) {
+  _builder.setDataField< ::wagtailwind::rpc::schema::Outcome>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint8_t AnswerEnd::Reader::getReason() const {
-  return _reader.getDataField<::uint8_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint8_t AnswerEnd::Reader::getReason() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint8_t AnswerEnd::Builder::getReason() {
-  return _builder.getDataField<::uint8_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint8_t AnswerEnd::Builder::getReason() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void AnswerEnd::Builder::setReason(::uint8_t value) {
-  _builder.setDataField<::uint8_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void AnswerEnd::Builder::setReason( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t AnswerEnd::Reader::getTotalBytes() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t AnswerEnd::Reader::getTotalBytes() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t AnswerEnd::Builder::getTotalBytes() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t AnswerEnd::Builder::getTotalBytes() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void AnswerEnd::Builder::setTotalBytes(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void AnswerEnd::Builder::setTotalBytes( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 #if !CAPNP_LITE
-inline AnswerSink::Client::Client(decltype(nullptr)) : ::capnp::Capability::Client(nullptr) {}
-inline AnswerSink::Client::Client(::kj::Own<::capnp::ClientHook>&& hook)
+inline AnswerSink::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline AnswerSink::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
     : ::capnp::Capability::Client(::kj::mv(hook)) {}
 template <typename _t, typename>
 inline AnswerSink::Client::Client(::kj::Own<_t>&& server)
@@ -5606,186 +5892,195 @@
     : ::capnp::Capability::Client(::kj::mv(promise)) {}
 inline AnswerSink::Client::Client(::kj::Exception&& exception)
     : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline ::wagtailwind::rpc::schema::AnswerSink::Client& AnswerSink::Client::operator=(
-    Client& other) {
+inline  ::wagtailwind::rpc::schema::AnswerSink::Client& AnswerSink::Client::operator=(Client& other) {
   ::capnp::Capability::Client::operator=(other);
   return *this;
 }
-inline ::wagtailwind::rpc::schema::AnswerSink::Client& AnswerSink::Client::operator=(
-    Client&& other) {
+inline  ::wagtailwind::rpc::schema::AnswerSink::Client& AnswerSink::Client::operator=(Client&& other) {
   ::capnp::Capability::Client::operator=(kj::mv(other));
   return *this;
 }
 
 #endif  // !CAPNP_LITE
 inline bool AnswerSink::HeadParams::Reader::hasRequestId() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool AnswerSink::HeadParams::Builder::hasRequestId() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader AnswerSink::HeadParams::Reader::getRequestId() const {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader AnswerSink::HeadParams::Reader::getRequestId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder AnswerSink::HeadParams::Builder::getRequestId() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder AnswerSink::HeadParams::Builder::getRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AnswerSink::HeadParams::Builder::setRequestId(::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void AnswerSink::HeadParams::Builder::setRequestId( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder AnswerSink::HeadParams::Builder::initRequestId(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder AnswerSink::HeadParams::Builder::initRequestId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void AnswerSink::HeadParams::Builder::adoptRequestId(
-    ::capnp::Orphan<::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> AnswerSink::HeadParams::Builder::disownRequestId() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> AnswerSink::HeadParams::Builder::disownRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t AnswerSink::HeadParams::Reader::getAttempt() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t AnswerSink::HeadParams::Reader::getAttempt() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t AnswerSink::HeadParams::Builder::getAttempt() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t AnswerSink::HeadParams::Builder::getAttempt() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AnswerSink::HeadParams::Builder::setAttempt(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void AnswerSink::HeadParams::Builder::setAttempt( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool AnswerSink::HeadParams::Reader::hasHead() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool AnswerSink::HeadParams::Builder::hasHead() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::wagtailwind::rpc::schema::AnswerHead::Reader AnswerSink::HeadParams::Reader::getHead()
-    const {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::AnswerHead>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::AnswerHead::Reader AnswerSink::HeadParams::Reader::getHead() const {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::AnswerHead>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::wagtailwind::rpc::schema::AnswerHead::Builder AnswerSink::HeadParams::Builder::getHead() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::AnswerHead>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::AnswerHead::Builder AnswerSink::HeadParams::Builder::getHead() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::AnswerHead>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::wagtailwind::rpc::schema::AnswerHead::Pipeline
-AnswerSink::HeadParams::Pipeline::getHead() {
-  return ::wagtailwind::rpc::schema::AnswerHead::Pipeline(_typeless.getPointerField(1));
+inline  ::wagtailwind::rpc::schema::AnswerHead::Pipeline AnswerSink::HeadParams::Pipeline::getHead() {
+  return  ::wagtailwind::rpc::schema::AnswerHead::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void AnswerSink::HeadParams::Builder::setHead(
-    ::wagtailwind::rpc::schema::AnswerHead::Reader value) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::AnswerHead>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void AnswerSink::HeadParams::Builder::setHead( ::wagtailwind::rpc::schema::AnswerHead::Reader value) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::AnswerHead>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::wagtailwind::rpc::schema::AnswerHead::Builder AnswerSink::HeadParams::Builder::initHead() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::AnswerHead>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::AnswerHead::Builder AnswerSink::HeadParams::Builder::initHead() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::AnswerHead>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void AnswerSink::HeadParams::Builder::adoptHead(
-    ::capnp::Orphan<::wagtailwind::rpc::schema::AnswerHead>&& value) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::AnswerHead>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::wagtailwind::rpc::schema::AnswerHead>&& value) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::AnswerHead>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::wagtailwind::rpc::schema::AnswerHead>
-AnswerSink::HeadParams::Builder::disownHead() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::AnswerHead>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::wagtailwind::rpc::schema::AnswerHead> AnswerSink::HeadParams::Builder::disownHead() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::AnswerHead>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t AnswerSink::ChunkParams::Reader::getOffset() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t AnswerSink::ChunkParams::Reader::getOffset() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t AnswerSink::ChunkParams::Builder::getOffset() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t AnswerSink::ChunkParams::Builder::getOffset() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AnswerSink::ChunkParams::Builder::setOffset(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void AnswerSink::ChunkParams::Builder::setOffset( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool AnswerSink::ChunkParams::Reader::hasData() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool AnswerSink::ChunkParams::Builder::hasData() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader AnswerSink::ChunkParams::Reader::getData() const {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader AnswerSink::ChunkParams::Reader::getData() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder AnswerSink::ChunkParams::Builder::getData() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder AnswerSink::ChunkParams::Builder::getData() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AnswerSink::ChunkParams::Builder::setData(::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void AnswerSink::ChunkParams::Builder::setData( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder AnswerSink::ChunkParams::Builder::initData(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder AnswerSink::ChunkParams::Builder::initData(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void AnswerSink::ChunkParams::Builder::adoptData(::capnp::Orphan<::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void AnswerSink::ChunkParams::Builder::adoptData(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> AnswerSink::ChunkParams::Builder::disownData() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> AnswerSink::ChunkParams::Builder::disownData() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool AnswerSink::EndParams::Reader::hasEnd() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool AnswerSink::EndParams::Builder::hasEnd() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::wagtailwind::rpc::schema::AnswerEnd::Reader AnswerSink::EndParams::Reader::getEnd() const {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::AnswerEnd>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::AnswerEnd::Reader AnswerSink::EndParams::Reader::getEnd() const {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::AnswerEnd>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::wagtailwind::rpc::schema::AnswerEnd::Builder AnswerSink::EndParams::Builder::getEnd() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::AnswerEnd>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::AnswerEnd::Builder AnswerSink::EndParams::Builder::getEnd() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::AnswerEnd>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::wagtailwind::rpc::schema::AnswerEnd::Pipeline AnswerSink::EndParams::Pipeline::getEnd() {
-  return ::wagtailwind::rpc::schema::AnswerEnd::Pipeline(_typeless.getPointerField(0));
+inline  ::wagtailwind::rpc::schema::AnswerEnd::Pipeline AnswerSink::EndParams::Pipeline::getEnd() {
+  return  ::wagtailwind::rpc::schema::AnswerEnd::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void AnswerSink::EndParams::Builder::setEnd(
-    ::wagtailwind::rpc::schema::AnswerEnd::Reader value) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::AnswerEnd>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void AnswerSink::EndParams::Builder::setEnd( ::wagtailwind::rpc::schema::AnswerEnd::Reader value) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::AnswerEnd>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::wagtailwind::rpc::schema::AnswerEnd::Builder AnswerSink::EndParams::Builder::initEnd() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::AnswerEnd>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::AnswerEnd::Builder AnswerSink::EndParams::Builder::initEnd() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::AnswerEnd>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void AnswerSink::EndParams::Builder::adoptEnd(
-    ::capnp::Orphan<::wagtailwind::rpc::schema::AnswerEnd>&& value) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::AnswerEnd>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::wagtailwind::rpc::schema::AnswerEnd>&& value) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::AnswerEnd>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::wagtailwind::rpc::schema::AnswerEnd>
-AnswerSink::EndParams::Builder::disownEnd() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::AnswerEnd>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::wagtailwind::rpc::schema::AnswerEnd> AnswerSink::EndParams::Builder::disownEnd() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::AnswerEnd>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 #if !CAPNP_LITE
-inline CallHandle::Client::Client(decltype(nullptr)) : ::capnp::Capability::Client(nullptr) {}
-inline CallHandle::Client::Client(::kj::Own<::capnp::ClientHook>&& hook)
+inline CallHandle::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline CallHandle::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
     : ::capnp::Capability::Client(::kj::mv(hook)) {}
 template <typename _t, typename>
 inline CallHandle::Client::Client(::kj::Own<_t>&& server)
@@ -5795,114 +6090,123 @@
     : ::capnp::Capability::Client(::kj::mv(promise)) {}
 inline CallHandle::Client::Client(::kj::Exception&& exception)
     : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline ::wagtailwind::rpc::schema::CallHandle::Client& CallHandle::Client::operator=(
-    Client& other) {
+inline  ::wagtailwind::rpc::schema::CallHandle::Client& CallHandle::Client::operator=(Client& other) {
   ::capnp::Capability::Client::operator=(other);
   return *this;
 }
-inline ::wagtailwind::rpc::schema::CallHandle::Client& CallHandle::Client::operator=(
-    Client&& other) {
+inline  ::wagtailwind::rpc::schema::CallHandle::Client& CallHandle::Client::operator=(Client&& other) {
   ::capnp::Capability::Client::operator=(kj::mv(other));
   return *this;
 }
 
 #endif  // !CAPNP_LITE
 inline bool ChatMoved::Reader::hasOrganisation() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool ChatMoved::Builder::hasOrganisation() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ChatMoved::Reader::getOrganisation() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ChatMoved::Reader::getOrganisation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ChatMoved::Builder::getOrganisation() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ChatMoved::Builder::getOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ChatMoved::Builder::setOrganisation(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void ChatMoved::Builder::setOrganisation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ChatMoved::Builder::initOrganisation(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder ChatMoved::Builder::initOrganisation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ChatMoved::Builder::adoptOrganisation(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void ChatMoved::Builder::adoptOrganisation(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ChatMoved::Builder::disownOrganisation() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ChatMoved::Builder::disownOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool ChatMoved::Reader::hasChat() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool ChatMoved::Builder::hasChat() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ChatMoved::Reader::getChat() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ChatMoved::Reader::getChat() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ChatMoved::Builder::getChat() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ChatMoved::Builder::getChat() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ChatMoved::Builder::setChat(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void ChatMoved::Builder::setChat( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ChatMoved::Builder::initChat(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder ChatMoved::Builder::initChat(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void ChatMoved::Builder::adoptChat(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void ChatMoved::Builder::adoptChat(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ChatMoved::Builder::disownChat() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ChatMoved::Builder::disownChat() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool ChatMoved::Reader::hasEndpoint() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool ChatMoved::Builder::hasEndpoint() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ChatMoved::Reader::getEndpoint() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ChatMoved::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ChatMoved::Builder::getEndpoint() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ChatMoved::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void ChatMoved::Builder::setEndpoint(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void ChatMoved::Builder::setEndpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ChatMoved::Builder::initEndpoint(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder ChatMoved::Builder::initEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void ChatMoved::Builder::adoptEndpoint(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void ChatMoved::Builder::adoptEndpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ChatMoved::Builder::disownEndpoint() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ChatMoved::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 #if !CAPNP_LITE
-inline AgentService::Client::Client(decltype(nullptr)) : ::capnp::Capability::Client(nullptr) {}
-inline AgentService::Client::Client(::kj::Own<::capnp::ClientHook>&& hook)
+inline AgentService::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline AgentService::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
     : ::capnp::Capability::Client(::kj::mv(hook)) {}
 template <typename _t, typename>
 inline AgentService::Client::Client(::kj::Own<_t>&& server)
