@@ -5912,928 +6216,1026 @@
     : ::capnp::Capability::Client(::kj::mv(promise)) {}
 inline AgentService::Client::Client(::kj::Exception&& exception)
     : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline ::wagtailwind::rpc::schema::AgentService::Client& AgentService::Client::operator=(
-    Client& other) {
+inline  ::wagtailwind::rpc::schema::AgentService::Client& AgentService::Client::operator=(Client& other) {
   ::capnp::Capability::Client::operator=(other);
   return *this;
 }
-inline ::wagtailwind::rpc::schema::AgentService::Client& AgentService::Client::operator=(
-    Client&& other) {
+inline  ::wagtailwind::rpc::schema::AgentService::Client& AgentService::Client::operator=(Client&& other) {
   ::capnp::Capability::Client::operator=(kj::mv(other));
   return *this;
 }
 
 #endif  // !CAPNP_LITE
 inline bool AgentService::ExecuteParams::Reader::hasCall() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool AgentService::ExecuteParams::Builder::hasCall() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::wagtailwind::rpc::schema::Call::Reader AgentService::ExecuteParams::Reader::getCall()
-    const {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::Call>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::Call::Reader AgentService::ExecuteParams::Reader::getCall() const {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::Call>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::wagtailwind::rpc::schema::Call::Builder AgentService::ExecuteParams::Builder::getCall() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::Call>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::Call::Builder AgentService::ExecuteParams::Builder::getCall() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::Call>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::wagtailwind::rpc::schema::Call::Pipeline AgentService::ExecuteParams::Pipeline::getCall() {
-  return ::wagtailwind::rpc::schema::Call::Pipeline(_typeless.getPointerField(0));
+inline  ::wagtailwind::rpc::schema::Call::Pipeline AgentService::ExecuteParams::Pipeline::getCall() {
+  return  ::wagtailwind::rpc::schema::Call::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void AgentService::ExecuteParams::Builder::setCall(
-    ::wagtailwind::rpc::schema::Call::Reader value) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::Call>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void AgentService::ExecuteParams::Builder::setCall( ::wagtailwind::rpc::schema::Call::Reader value) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::Call>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::wagtailwind::rpc::schema::Call::Builder AgentService::ExecuteParams::Builder::initCall() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::Call>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::Call::Builder AgentService::ExecuteParams::Builder::initCall() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::Call>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void AgentService::ExecuteParams::Builder::adoptCall(
-    ::capnp::Orphan<::wagtailwind::rpc::schema::Call>&& value) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::Call>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::wagtailwind::rpc::schema::Call>&& value) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::Call>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::wagtailwind::rpc::schema::Call>
-AgentService::ExecuteParams::Builder::disownCall() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::Call>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::wagtailwind::rpc::schema::Call> AgentService::ExecuteParams::Builder::disownCall() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::Call>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool AgentService::ExecuteParams::Reader::hasSink() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool AgentService::ExecuteParams::Builder::hasSink() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 #if !CAPNP_LITE
-inline ::wagtailwind::rpc::schema::AnswerSink::Client AgentService::ExecuteParams::Reader::getSink()
-    const {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::AnswerSink>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::AnswerSink::Client AgentService::ExecuteParams::Reader::getSink() const {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::AnswerSink>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::wagtailwind::rpc::schema::AnswerSink::Client
-AgentService::ExecuteParams::Builder::getSink() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::AnswerSink>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::AnswerSink::Client AgentService::ExecuteParams::Builder::getSink() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::AnswerSink>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::wagtailwind::rpc::schema::AnswerSink::Client
-AgentService::ExecuteParams::Pipeline::getSink() {
-  return ::wagtailwind::rpc::schema::AnswerSink::Client(_typeless.getPointerField(1).asCap());
+inline  ::wagtailwind::rpc::schema::AnswerSink::Client AgentService::ExecuteParams::Pipeline::getSink() {
+  return  ::wagtailwind::rpc::schema::AnswerSink::Client(_typeless.getPointerField(1).asCap());
 }
-inline void AgentService::ExecuteParams::Builder::setSink(
-    ::wagtailwind::rpc::schema::AnswerSink::Client&& cap) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::AnswerSink>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
+inline void AgentService::ExecuteParams::Builder::setSink( ::wagtailwind::rpc::schema::AnswerSink::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::AnswerSink>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
 }
-inline void AgentService::ExecuteParams::Builder::setSink(
-    ::wagtailwind::rpc::schema::AnswerSink::Client& cap) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::AnswerSink>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), cap);
+inline void AgentService::ExecuteParams::Builder::setSink( ::wagtailwind::rpc::schema::AnswerSink::Client& cap) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::AnswerSink>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), cap);
 }
 inline void AgentService::ExecuteParams::Builder::adoptSink(
-    ::capnp::Orphan<::wagtailwind::rpc::schema::AnswerSink>&& value) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::AnswerSink>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::wagtailwind::rpc::schema::AnswerSink>&& value) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::AnswerSink>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::wagtailwind::rpc::schema::AnswerSink>
-AgentService::ExecuteParams::Builder::disownSink() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::AnswerSink>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::wagtailwind::rpc::schema::AnswerSink> AgentService::ExecuteParams::Builder::disownSink() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::AnswerSink>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #endif  // !CAPNP_LITE
 
 inline bool AgentService::ExecuteResults::Reader::hasAdmission() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool AgentService::ExecuteResults::Builder::hasAdmission() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::wagtailwind::rpc::schema::Admission::Reader
-AgentService::ExecuteResults::Reader::getAdmission() const {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::Admission>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::Admission::Reader AgentService::ExecuteResults::Reader::getAdmission() const {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::Admission>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::wagtailwind::rpc::schema::Admission::Builder
-AgentService::ExecuteResults::Builder::getAdmission() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::Admission>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::Admission::Builder AgentService::ExecuteResults::Builder::getAdmission() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::Admission>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::wagtailwind::rpc::schema::Admission::Pipeline
-AgentService::ExecuteResults::Pipeline::getAdmission() {
-  return ::wagtailwind::rpc::schema::Admission::Pipeline(_typeless.getPointerField(0));
+inline  ::wagtailwind::rpc::schema::Admission::Pipeline AgentService::ExecuteResults::Pipeline::getAdmission() {
+  return  ::wagtailwind::rpc::schema::Admission::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void AgentService::ExecuteResults::Builder::setAdmission(
-    ::wagtailwind::rpc::schema::Admission::Reader value) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::Admission>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void AgentService::ExecuteResults::Builder::setAdmission( ::wagtailwind::rpc::schema::Admission::Reader value) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::Admission>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::wagtailwind::rpc::schema::Admission::Builder
-AgentService::ExecuteResults::Builder::initAdmission() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::Admission>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::Admission::Builder AgentService::ExecuteResults::Builder::initAdmission() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::Admission>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void AgentService::ExecuteResults::Builder::adoptAdmission(
-    ::capnp::Orphan<::wagtailwind::rpc::schema::Admission>&& value) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::Admission>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::wagtailwind::rpc::schema::Admission>&& value) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::Admission>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::wagtailwind::rpc::schema::Admission>
-AgentService::ExecuteResults::Builder::disownAdmission() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::Admission>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::wagtailwind::rpc::schema::Admission> AgentService::ExecuteResults::Builder::disownAdmission() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::Admission>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool AgentService::ExecuteResults::Reader::hasHandle() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool AgentService::ExecuteResults::Builder::hasHandle() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 #if !CAPNP_LITE
-inline ::wagtailwind::rpc::schema::CallHandle::Client
-AgentService::ExecuteResults::Reader::getHandle() const {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::CallHandle>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::CallHandle::Client AgentService::ExecuteResults::Reader::getHandle() const {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::CallHandle>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::wagtailwind::rpc::schema::CallHandle::Client
-AgentService::ExecuteResults::Builder::getHandle() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::CallHandle>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::CallHandle::Client AgentService::ExecuteResults::Builder::getHandle() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::CallHandle>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::wagtailwind::rpc::schema::CallHandle::Client
-AgentService::ExecuteResults::Pipeline::getHandle() {
-  return ::wagtailwind::rpc::schema::CallHandle::Client(_typeless.getPointerField(1).asCap());
+inline  ::wagtailwind::rpc::schema::CallHandle::Client AgentService::ExecuteResults::Pipeline::getHandle() {
+  return  ::wagtailwind::rpc::schema::CallHandle::Client(_typeless.getPointerField(1).asCap());
 }
-inline void AgentService::ExecuteResults::Builder::setHandle(
-    ::wagtailwind::rpc::schema::CallHandle::Client&& cap) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::CallHandle>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
+inline void AgentService::ExecuteResults::Builder::setHandle( ::wagtailwind::rpc::schema::CallHandle::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::CallHandle>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
 }
-inline void AgentService::ExecuteResults::Builder::setHandle(
-    ::wagtailwind::rpc::schema::CallHandle::Client& cap) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::CallHandle>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), cap);
+inline void AgentService::ExecuteResults::Builder::setHandle( ::wagtailwind::rpc::schema::CallHandle::Client& cap) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::CallHandle>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), cap);
 }
 inline void AgentService::ExecuteResults::Builder::adoptHandle(
-    ::capnp::Orphan<::wagtailwind::rpc::schema::CallHandle>&& value) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::CallHandle>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::wagtailwind::rpc::schema::CallHandle>&& value) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::CallHandle>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::wagtailwind::rpc::schema::CallHandle>
-AgentService::ExecuteResults::Builder::disownHandle() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::CallHandle>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::wagtailwind::rpc::schema::CallHandle> AgentService::ExecuteResults::Builder::disownHandle() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::CallHandle>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #endif  // !CAPNP_LITE
 
 inline bool AgentService::ResumeParams::Reader::hasAnswerId() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool AgentService::ResumeParams::Builder::hasAnswerId() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader AgentService::ResumeParams::Reader::getAnswerId() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader AgentService::ResumeParams::Reader::getAnswerId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder AgentService::ResumeParams::Builder::getAnswerId() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder AgentService::ResumeParams::Builder::getAnswerId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AgentService::ResumeParams::Builder::setAnswerId(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void AgentService::ResumeParams::Builder::setAnswerId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder AgentService::ResumeParams::Builder::initAnswerId(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder AgentService::ResumeParams::Builder::initAnswerId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void AgentService::ResumeParams::Builder::adoptAnswerId(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> AgentService::ResumeParams::Builder::disownAnswerId() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> AgentService::ResumeParams::Builder::disownAnswerId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool AgentService::ResumeParams::Reader::hasOrganisation() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool AgentService::ResumeParams::Builder::hasOrganisation() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader AgentService::ResumeParams::Reader::getOrganisation() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader AgentService::ResumeParams::Reader::getOrganisation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder AgentService::ResumeParams::Builder::getOrganisation() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder AgentService::ResumeParams::Builder::getOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void AgentService::ResumeParams::Builder::setOrganisation(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void AgentService::ResumeParams::Builder::setOrganisation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder AgentService::ResumeParams::Builder::initOrganisation(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder AgentService::ResumeParams::Builder::initOrganisation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void AgentService::ResumeParams::Builder::adoptOrganisation(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> AgentService::ResumeParams::Builder::disownOrganisation() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> AgentService::ResumeParams::Builder::disownOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t AgentService::ResumeParams::Reader::getOffset() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t AgentService::ResumeParams::Reader::getOffset() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t AgentService::ResumeParams::Builder::getOffset() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t AgentService::ResumeParams::Builder::getOffset() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AgentService::ResumeParams::Builder::setOffset(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void AgentService::ResumeParams::Builder::setOffset( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool AgentService::ResumeParams::Reader::hasSink() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool AgentService::ResumeParams::Builder::hasSink() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 #if !CAPNP_LITE
-inline ::wagtailwind::rpc::schema::AnswerSink::Client AgentService::ResumeParams::Reader::getSink()
-    const {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::AnswerSink>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::AnswerSink::Client AgentService::ResumeParams::Reader::getSink() const {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::AnswerSink>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::wagtailwind::rpc::schema::AnswerSink::Client
-AgentService::ResumeParams::Builder::getSink() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::AnswerSink>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::AnswerSink::Client AgentService::ResumeParams::Builder::getSink() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::AnswerSink>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::wagtailwind::rpc::schema::AnswerSink::Client
-AgentService::ResumeParams::Pipeline::getSink() {
-  return ::wagtailwind::rpc::schema::AnswerSink::Client(_typeless.getPointerField(2).asCap());
+inline  ::wagtailwind::rpc::schema::AnswerSink::Client AgentService::ResumeParams::Pipeline::getSink() {
+  return  ::wagtailwind::rpc::schema::AnswerSink::Client(_typeless.getPointerField(2).asCap());
 }
-inline void AgentService::ResumeParams::Builder::setSink(
-    ::wagtailwind::rpc::schema::AnswerSink::Client&& cap) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::AnswerSink>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(cap));
+inline void AgentService::ResumeParams::Builder::setSink( ::wagtailwind::rpc::schema::AnswerSink::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::AnswerSink>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(cap));
 }
-inline void AgentService::ResumeParams::Builder::setSink(
-    ::wagtailwind::rpc::schema::AnswerSink::Client& cap) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::AnswerSink>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), cap);
+inline void AgentService::ResumeParams::Builder::setSink( ::wagtailwind::rpc::schema::AnswerSink::Client& cap) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::AnswerSink>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), cap);
 }
 inline void AgentService::ResumeParams::Builder::adoptSink(
-    ::capnp::Orphan<::wagtailwind::rpc::schema::AnswerSink>&& value) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::AnswerSink>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::wagtailwind::rpc::schema::AnswerSink>&& value) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::AnswerSink>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::wagtailwind::rpc::schema::AnswerSink>
-AgentService::ResumeParams::Builder::disownSink() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::AnswerSink>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::wagtailwind::rpc::schema::AnswerSink> AgentService::ResumeParams::Builder::disownSink() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::AnswerSink>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #endif  // !CAPNP_LITE
 
 inline bool AgentService::ResumeResults::Reader::getFound() const {
-  return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline bool AgentService::ResumeResults::Builder::getFound() {
-  return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void AgentService::ResumeResults::Builder::setFound(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool AgentService::ResumeResults::Reader::hasHandle() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool AgentService::ResumeResults::Builder::hasHandle() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 #if !CAPNP_LITE
-inline ::wagtailwind::rpc::schema::CallHandle::Client
-AgentService::ResumeResults::Reader::getHandle() const {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::CallHandle>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::CallHandle::Client AgentService::ResumeResults::Reader::getHandle() const {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::CallHandle>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::wagtailwind::rpc::schema::CallHandle::Client
-AgentService::ResumeResults::Builder::getHandle() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::CallHandle>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::CallHandle::Client AgentService::ResumeResults::Builder::getHandle() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::CallHandle>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::wagtailwind::rpc::schema::CallHandle::Client
-AgentService::ResumeResults::Pipeline::getHandle() {
-  return ::wagtailwind::rpc::schema::CallHandle::Client(_typeless.getPointerField(0).asCap());
+inline  ::wagtailwind::rpc::schema::CallHandle::Client AgentService::ResumeResults::Pipeline::getHandle() {
+  return  ::wagtailwind::rpc::schema::CallHandle::Client(_typeless.getPointerField(0).asCap());
 }
-inline void AgentService::ResumeResults::Builder::setHandle(
-    ::wagtailwind::rpc::schema::CallHandle::Client&& cap) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::CallHandle>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(cap));
+inline void AgentService::ResumeResults::Builder::setHandle( ::wagtailwind::rpc::schema::CallHandle::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::CallHandle>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(cap));
 }
-inline void AgentService::ResumeResults::Builder::setHandle(
-    ::wagtailwind::rpc::schema::CallHandle::Client& cap) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::CallHandle>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), cap);
+inline void AgentService::ResumeResults::Builder::setHandle( ::wagtailwind::rpc::schema::CallHandle::Client& cap) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::CallHandle>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), cap);
 }
 inline void AgentService::ResumeResults::Builder::adoptHandle(
-    ::capnp::Orphan<::wagtailwind::rpc::schema::CallHandle>&& value) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::CallHandle>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::wagtailwind::rpc::schema::CallHandle>&& value) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::CallHandle>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::wagtailwind::rpc::schema::CallHandle>
-AgentService::ResumeResults::Builder::disownHandle() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::CallHandle>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::wagtailwind::rpc::schema::CallHandle> AgentService::ResumeResults::Builder::disownHandle() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::CallHandle>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #endif  // !CAPNP_LITE
 
 inline bool AgentService::ChatMovedParams::Reader::hasMoved() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool AgentService::ChatMovedParams::Builder::hasMoved() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::wagtailwind::rpc::schema::ChatMoved::Reader
-AgentService::ChatMovedParams::Reader::getMoved() const {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::ChatMoved>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::ChatMoved::Reader AgentService::ChatMovedParams::Reader::getMoved() const {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::ChatMoved>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::wagtailwind::rpc::schema::ChatMoved::Builder
-AgentService::ChatMovedParams::Builder::getMoved() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::ChatMoved>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::ChatMoved::Builder AgentService::ChatMovedParams::Builder::getMoved() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::ChatMoved>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::wagtailwind::rpc::schema::ChatMoved::Pipeline
-AgentService::ChatMovedParams::Pipeline::getMoved() {
-  return ::wagtailwind::rpc::schema::ChatMoved::Pipeline(_typeless.getPointerField(0));
+inline  ::wagtailwind::rpc::schema::ChatMoved::Pipeline AgentService::ChatMovedParams::Pipeline::getMoved() {
+  return  ::wagtailwind::rpc::schema::ChatMoved::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void AgentService::ChatMovedParams::Builder::setMoved(
-    ::wagtailwind::rpc::schema::ChatMoved::Reader value) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::ChatMoved>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void AgentService::ChatMovedParams::Builder::setMoved( ::wagtailwind::rpc::schema::ChatMoved::Reader value) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::ChatMoved>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::wagtailwind::rpc::schema::ChatMoved::Builder
-AgentService::ChatMovedParams::Builder::initMoved() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::ChatMoved>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::ChatMoved::Builder AgentService::ChatMovedParams::Builder::initMoved() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::ChatMoved>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void AgentService::ChatMovedParams::Builder::adoptMoved(
-    ::capnp::Orphan<::wagtailwind::rpc::schema::ChatMoved>&& value) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::ChatMoved>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::wagtailwind::rpc::schema::ChatMoved>&& value) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::ChatMoved>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::wagtailwind::rpc::schema::ChatMoved>
-AgentService::ChatMovedParams::Builder::disownMoved() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::ChatMoved>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::wagtailwind::rpc::schema::ChatMoved> AgentService::ChatMovedParams::Builder::disownMoved() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::ChatMoved>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool MemberRecord::Reader::hasInstance() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool MemberRecord::Builder::hasInstance() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader MemberRecord::Reader::getInstance() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader MemberRecord::Reader::getInstance() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder MemberRecord::Builder::getInstance() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder MemberRecord::Builder::getInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void MemberRecord::Builder::setInstance(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void MemberRecord::Builder::setInstance( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder MemberRecord::Builder::initInstance(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder MemberRecord::Builder::initInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void MemberRecord::Builder::adoptInstance(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void MemberRecord::Builder::adoptInstance(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> MemberRecord::Builder::disownInstance() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint8_t MemberRecord::Reader::getRole() const {
-  return _reader.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint8_t MemberRecord::Reader::getRole() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint8_t MemberRecord::Builder::getRole() {
-  return _builder.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint8_t MemberRecord::Builder::getRole() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::setRole(::uint8_t value) {
-  _builder.setDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void MemberRecord::Builder::setRole( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool MemberRecord::Reader::hasZone() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool MemberRecord::Builder::hasZone() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader MemberRecord::Reader::getZone() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader MemberRecord::Reader::getZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder MemberRecord::Builder::getZone() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder MemberRecord::Builder::getZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void MemberRecord::Builder::setZone(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void MemberRecord::Builder::setZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder MemberRecord::Builder::initZone(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder MemberRecord::Builder::initZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void MemberRecord::Builder::adoptZone(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void MemberRecord::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> MemberRecord::Builder::disownZone() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool MemberRecord::Reader::hasRegion() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool MemberRecord::Builder::hasRegion() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader MemberRecord::Reader::getRegion() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader MemberRecord::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder MemberRecord::Builder::getRegion() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder MemberRecord::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void MemberRecord::Builder::setRegion(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void MemberRecord::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder MemberRecord::Builder::initRegion(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder MemberRecord::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void MemberRecord::Builder::adoptRegion(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void MemberRecord::Builder::adoptRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> MemberRecord::Builder::disownRegion() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t MemberRecord::Reader::getIncarnation() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t MemberRecord::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t MemberRecord::Builder::getIncarnation() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t MemberRecord::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::setIncarnation(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void MemberRecord::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool MemberRecord::Reader::hasRpcAddress() const {
-  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool MemberRecord::Builder::hasRpcAddress() {
-  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader MemberRecord::Reader::getRpcAddress() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader MemberRecord::Reader::getRpcAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder MemberRecord::Builder::getRpcAddress() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder MemberRecord::Builder::getRpcAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void MemberRecord::Builder::setRpcAddress(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void MemberRecord::Builder::setRpcAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder MemberRecord::Builder::initRpcAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder MemberRecord::Builder::initRpcAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void MemberRecord::Builder::adoptRpcAddress(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void MemberRecord::Builder::adoptRpcAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> MemberRecord::Builder::disownRpcAddress() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownRpcAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool MemberRecord::Reader::hasGossipAddress() const {
-  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool MemberRecord::Builder::hasGossipAddress() {
-  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader MemberRecord::Reader::getGossipAddress() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader MemberRecord::Reader::getGossipAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder MemberRecord::Builder::getGossipAddress() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder MemberRecord::Builder::getGossipAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void MemberRecord::Builder::setGossipAddress(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void MemberRecord::Builder::setGossipAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder MemberRecord::Builder::initGossipAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder MemberRecord::Builder::initGossipAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void MemberRecord::Builder::adoptGossipAddress(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline void MemberRecord::Builder::adoptGossipAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> MemberRecord::Builder::disownGossipAddress() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownGossipAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline ::uint8_t MemberRecord::Reader::getState() const {
-  return _reader.getDataField<::uint8_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint8_t MemberRecord::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint8_t MemberRecord::Builder::getState() {
-  return _builder.getDataField<::uint8_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint8_t MemberRecord::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::setState(::uint8_t value) {
-  _builder.setDataField<::uint8_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void MemberRecord::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t MemberRecord::Reader::getStateNumber() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t MemberRecord::Reader::getStateNumber() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t MemberRecord::Builder::getStateNumber() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t MemberRecord::Builder::getStateNumber() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::setStateNumber(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void MemberRecord::Builder::setStateNumber( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool MemberRecord::Reader::hasEndpoint() const {
-  return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
 inline bool MemberRecord::Builder::hasEndpoint() {
-  return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline ::wagtailwind::rpc::schema::EndpointRecord::Reader MemberRecord::Reader::getEndpoint()
-    const {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::EndpointRecord>::get(
-      _reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::EndpointRecord::Reader MemberRecord::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::EndpointRecord>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline ::wagtailwind::rpc::schema::EndpointRecord::Builder MemberRecord::Builder::getEndpoint() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::EndpointRecord>::get(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::EndpointRecord::Builder MemberRecord::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::EndpointRecord>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::wagtailwind::rpc::schema::EndpointRecord::Pipeline MemberRecord::Pipeline::getEndpoint() {
-  return ::wagtailwind::rpc::schema::EndpointRecord::Pipeline(_typeless.getPointerField(5));
+inline  ::wagtailwind::rpc::schema::EndpointRecord::Pipeline MemberRecord::Pipeline::getEndpoint() {
+  return  ::wagtailwind::rpc::schema::EndpointRecord::Pipeline(_typeless.getPointerField(5));
 }
 #endif  // !CAPNP_LITE
-inline void MemberRecord::Builder::setEndpoint(
-    ::wagtailwind::rpc::schema::EndpointRecord::Reader value) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::EndpointRecord>::set(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), value);
+inline void MemberRecord::Builder::setEndpoint( ::wagtailwind::rpc::schema::EndpointRecord::Reader value) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::EndpointRecord>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline ::wagtailwind::rpc::schema::EndpointRecord::Builder MemberRecord::Builder::initEndpoint() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::EndpointRecord>::init(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::EndpointRecord::Builder MemberRecord::Builder::initEndpoint() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::EndpointRecord>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 inline void MemberRecord::Builder::adoptEndpoint(
-    ::capnp::Orphan<::wagtailwind::rpc::schema::EndpointRecord>&& value) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::EndpointRecord>::adopt(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::wagtailwind::rpc::schema::EndpointRecord>&& value) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::EndpointRecord>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::wagtailwind::rpc::schema::EndpointRecord>
-MemberRecord::Builder::disownEndpoint() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::EndpointRecord>::disown(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::wagtailwind::rpc::schema::EndpointRecord> MemberRecord::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::EndpointRecord>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
 inline bool EndpointRecord::Reader::hasEndpoint() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool EndpointRecord::Builder::hasEndpoint() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader EndpointRecord::Reader::getEndpoint() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader EndpointRecord::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder EndpointRecord::Builder::getEndpoint() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder EndpointRecord::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void EndpointRecord::Builder::setEndpoint(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void EndpointRecord::Builder::setEndpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder EndpointRecord::Builder::initEndpoint(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder EndpointRecord::Builder::initEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void EndpointRecord::Builder::adoptEndpoint(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void EndpointRecord::Builder::adoptEndpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> EndpointRecord::Builder::disownEndpoint() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> EndpointRecord::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint8_t EndpointRecord::Reader::getKind() const {
-  return _reader.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint8_t EndpointRecord::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint8_t EndpointRecord::Builder::getKind() {
-  return _builder.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint8_t EndpointRecord::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void EndpointRecord::Builder::setKind(::uint8_t value) {
-  _builder.setDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void EndpointRecord::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool EndpointRecord::Reader::hasPool() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool EndpointRecord::Builder::hasPool() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader EndpointRecord::Reader::getPool() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader EndpointRecord::Reader::getPool() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder EndpointRecord::Builder::getPool() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder EndpointRecord::Builder::getPool() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void EndpointRecord::Builder::setPool(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void EndpointRecord::Builder::setPool( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder EndpointRecord::Builder::initPool(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder EndpointRecord::Builder::initPool(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void EndpointRecord::Builder::adoptPool(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void EndpointRecord::Builder::adoptPool(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> EndpointRecord::Builder::disownPool() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> EndpointRecord::Builder::disownPool() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t EndpointRecord::Reader::getCapacity() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t EndpointRecord::Reader::getCapacity() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t EndpointRecord::Builder::getCapacity() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t EndpointRecord::Builder::getCapacity() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void EndpointRecord::Builder::setCapacity(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void EndpointRecord::Builder::setCapacity( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool EndpointRecord::Reader::hasModels() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool EndpointRecord::Builder::hasModels() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader EndpointRecord::Reader::getModels()
-    const {
-  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader EndpointRecord::Reader::getModels() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-EndpointRecord::Builder::getModels() {
-  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder EndpointRecord::Builder::getModels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void EndpointRecord::Builder::setModels(
-    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void EndpointRecord::Builder::setModels( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline void EndpointRecord::Builder::setModels(::kj::ArrayPtr<const ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void EndpointRecord::Builder::setModels(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-EndpointRecord::Builder::initModels(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder EndpointRecord::Builder::initModels(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void EndpointRecord::Builder::adoptModels(
-    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-EndpointRecord::Builder::disownModels() {
-  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> EndpointRecord::Builder::disownModels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t LoadRecord::Reader::getEndpointHash() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t LoadRecord::Reader::getEndpointHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t LoadRecord::Builder::getEndpointHash() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t LoadRecord::Builder::getEndpointHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void LoadRecord::Builder::setEndpointHash(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void LoadRecord::Builder::setEndpointHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t LoadRecord::Reader::getWorkTokens() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t LoadRecord::Reader::getWorkTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t LoadRecord::Builder::getWorkTokens() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t LoadRecord::Builder::getWorkTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void LoadRecord::Builder::setWorkTokens(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void LoadRecord::Builder::setWorkTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t LoadRecord::Reader::getAgeMs() const {
-  return _reader.getDataField<::uint16_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::uint16_t LoadRecord::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t LoadRecord::Builder::getAgeMs() {
-  return _builder.getDataField<::uint16_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::uint16_t LoadRecord::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void LoadRecord::Builder::setAgeMs(::uint16_t value) {
-  _builder.setDataField<::uint16_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline void LoadRecord::Builder::setAgeMs( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t ConfigurationDigest::Reader::getVersion() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t ConfigurationDigest::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t ConfigurationDigest::Builder::getVersion() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t ConfigurationDigest::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ConfigurationDigest::Builder::setVersion(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void ConfigurationDigest::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t ConfigurationDigest::Reader::getConfirmationAgeMs() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t ConfigurationDigest::Reader::getConfirmationAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t ConfigurationDigest::Builder::getConfirmationAgeMs() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t ConfigurationDigest::Builder::getConfirmationAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ConfigurationDigest::Builder::setConfirmationAgeMs(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void ConfigurationDigest::Builder::setConfirmationAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t PoolSummary::Reader::getZoneHash() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t PoolSummary::Reader::getZoneHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t PoolSummary::Builder::getZoneHash() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t PoolSummary::Builder::getZoneHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PoolSummary::Builder::setZoneHash(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void PoolSummary::Builder::setZoneHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t PoolSummary::Reader::getPoolHash() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t PoolSummary::Reader::getPoolHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t PoolSummary::Builder::getPoolHash() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t PoolSummary::Builder::getPoolHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void PoolSummary::Builder::setPoolHash(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void PoolSummary::Builder::setPoolHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t PoolSummary::Reader::getWorkTokens() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t PoolSummary::Reader::getWorkTokens() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t PoolSummary::Builder::getWorkTokens() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t PoolSummary::Builder::getWorkTokens() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void PoolSummary::Builder::setWorkTokens(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void PoolSummary::Builder::setWorkTokens( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t PoolSummary::Reader::getCapacity() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint64_t PoolSummary::Reader::getCapacity() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t PoolSummary::Builder::getCapacity() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint64_t PoolSummary::Builder::getCapacity() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void PoolSummary::Builder::setCapacity(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void PoolSummary::Builder::setCapacity( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t PoolSummary::Reader::getAgeMs() const {
-  return _reader.getDataField<::uint16_t>(::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline  ::uint16_t PoolSummary::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t PoolSummary::Builder::getAgeMs() {
-  return _builder.getDataField<::uint16_t>(::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline  ::uint16_t PoolSummary::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
-inline void PoolSummary::Builder::setAgeMs(::uint16_t value) {
-  _builder.setDataField<::uint16_t>(::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+inline void PoolSummary::Builder::setAgeMs( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t MemberStatus::Reader::getMemberKey() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MemberStatus::Builder::getMemberKey() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void MemberStatus::Builder::setMemberKey( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t MemberStatus::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t MemberStatus::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void MemberStatus::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t MemberStatus::Reader::getStateNumber() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t MemberStatus::Builder::getStateNumber() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void MemberStatus::Builder::setStateNumber( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool GossipDatagram::Reader::hasSender() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool GossipDatagram::Builder::hasSender() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader GossipDatagram::Reader::getSender() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader GossipDatagram::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder GossipDatagram::Builder::getSender() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder GossipDatagram::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void GossipDatagram::Builder::setSender(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void GossipDatagram::Builder::setSender( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder GossipDatagram::Builder::initSender(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder GossipDatagram::Builder::initSender(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void GossipDatagram::Builder::adoptSender(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void GossipDatagram::Builder::adoptSender(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> GossipDatagram::Builder::disownSender() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> GossipDatagram::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t GossipDatagram::Reader::getSenderIncarnation() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t GossipDatagram::Reader::getSenderIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t GossipDatagram::Builder::getSenderIncarnation() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t GossipDatagram::Builder::getSenderIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void GossipDatagram::Builder::setSenderIncarnation(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void GossipDatagram::Builder::setSenderIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t GossipDatagram::Reader::getSequence() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t GossipDatagram::Reader::getSequence() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t GossipDatagram::Builder::getSequence() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t GossipDatagram::Builder::getSequence() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void GossipDatagram::Builder::setSequence(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void GossipDatagram::Builder::setSequence( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline typename GossipDatagram::Kind::Reader GossipDatagram::Reader::getKind() const {
@@ -6848,236 +7250,306 @@
 }
 #endif  // !CAPNP_LITE
 inline typename GossipDatagram::Kind::Builder GossipDatagram::Builder::initKind() {
-  _builder.setDataField<::uint16_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint16_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
   return typename GossipDatagram::Kind::Builder(_builder);
 }
 inline bool GossipDatagram::Reader::hasConfiguration() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool GossipDatagram::Builder::hasConfiguration() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::wagtailwind::rpc::schema::ConfigurationDigest::Reader
-GossipDatagram::Reader::getConfiguration() const {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::ConfigurationDigest>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::ConfigurationDigest::Reader GossipDatagram::Reader::getConfiguration() const {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::ConfigurationDigest>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::wagtailwind::rpc::schema::ConfigurationDigest::Builder
-GossipDatagram::Builder::getConfiguration() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::ConfigurationDigest>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::ConfigurationDigest::Builder GossipDatagram::Builder::getConfiguration() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::ConfigurationDigest>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::wagtailwind::rpc::schema::ConfigurationDigest::Pipeline
-GossipDatagram::Pipeline::getConfiguration() {
-  return ::wagtailwind::rpc::schema::ConfigurationDigest::Pipeline(_typeless.getPointerField(2));
+inline  ::wagtailwind::rpc::schema::ConfigurationDigest::Pipeline GossipDatagram::Pipeline::getConfiguration() {
+  return  ::wagtailwind::rpc::schema::ConfigurationDigest::Pipeline(_typeless.getPointerField(2));
 }
 #endif  // !CAPNP_LITE
-inline void GossipDatagram::Builder::setConfiguration(
-    ::wagtailwind::rpc::schema::ConfigurationDigest::Reader value) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::ConfigurationDigest>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void GossipDatagram::Builder::setConfiguration( ::wagtailwind::rpc::schema::ConfigurationDigest::Reader value) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::ConfigurationDigest>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::wagtailwind::rpc::schema::ConfigurationDigest::Builder
-GossipDatagram::Builder::initConfiguration() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::ConfigurationDigest>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::ConfigurationDigest::Builder GossipDatagram::Builder::initConfiguration() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::ConfigurationDigest>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void GossipDatagram::Builder::adoptConfiguration(
-    ::capnp::Orphan<::wagtailwind::rpc::schema::ConfigurationDigest>&& value) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::ConfigurationDigest>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::wagtailwind::rpc::schema::ConfigurationDigest>&& value) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::ConfigurationDigest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::wagtailwind::rpc::schema::ConfigurationDigest>
-GossipDatagram::Builder::disownConfiguration() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::ConfigurationDigest>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::wagtailwind::rpc::schema::ConfigurationDigest> GossipDatagram::Builder::disownConfiguration() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::ConfigurationDigest>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool GossipDatagram::Reader::hasChange() const {
-  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool GossipDatagram::Builder::hasChange() {
-  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader GossipDatagram::Reader::getChange() const {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader GossipDatagram::Reader::getChange() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder GossipDatagram::Builder::getChange() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder GossipDatagram::Builder::getChange() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void GossipDatagram::Builder::setChange(::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void GossipDatagram::Builder::setChange( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder GossipDatagram::Builder::initChange(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder GossipDatagram::Builder::initChange(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void GossipDatagram::Builder::adoptChange(::capnp::Orphan<::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void GossipDatagram::Builder::adoptChange(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> GossipDatagram::Builder::disownChange() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> GossipDatagram::Builder::disownChange() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool GossipDatagram::Reader::hasMembers() const {
-  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool GossipDatagram::Builder::hasMembers() {
-  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>::Reader
-GossipDatagram::Reader::getMembers() const {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>::Builder
-GossipDatagram::Builder::getMembers() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline void GossipDatagram::Builder::setMembers(
-    ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>::Builder
-GossipDatagram::Builder::initMembers(unsigned int size) {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>::Reader GossipDatagram::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>::Builder GossipDatagram::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void GossipDatagram::Builder::setMembers( ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>::Builder GossipDatagram::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
 inline void GossipDatagram::Builder::adoptMembers(
-    ::capnp::Orphan<
-        ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<
-    ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>>
-GossipDatagram::Builder::disownMembers() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>>::
-      disown(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>> GossipDatagram::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
 inline bool GossipDatagram::Reader::hasLoads() const {
-  return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
 inline bool GossipDatagram::Builder::hasLoads() {
-  return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::List<::wagtailwind::rpc::schema::LoadRecord, ::capnp::Kind::STRUCT>::Reader
-GossipDatagram::Reader::getLoads() const {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::wagtailwind::rpc::schema::LoadRecord, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::wagtailwind::rpc::schema::LoadRecord, ::capnp::Kind::STRUCT>::Builder
-GossipDatagram::Builder::getLoads() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::wagtailwind::rpc::schema::LoadRecord, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline void GossipDatagram::Builder::setLoads(
-    ::capnp::List<::wagtailwind::rpc::schema::LoadRecord, ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::wagtailwind::rpc::schema::LoadRecord, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::List<::wagtailwind::rpc::schema::LoadRecord, ::capnp::Kind::STRUCT>::Builder
-GossipDatagram::Builder::initLoads(unsigned int size) {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::wagtailwind::rpc::schema::LoadRecord, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::wagtailwind::rpc::schema::LoadRecord,  ::capnp::Kind::STRUCT>::Reader GossipDatagram::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::LoadRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::wagtailwind::rpc::schema::LoadRecord,  ::capnp::Kind::STRUCT>::Builder GossipDatagram::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::LoadRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void GossipDatagram::Builder::setLoads( ::capnp::List< ::wagtailwind::rpc::schema::LoadRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::LoadRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::wagtailwind::rpc::schema::LoadRecord,  ::capnp::Kind::STRUCT>::Builder GossipDatagram::Builder::initLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::LoadRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
 inline void GossipDatagram::Builder::adoptLoads(
-    ::capnp::Orphan<::capnp::List<::wagtailwind::rpc::schema::LoadRecord, ::capnp::Kind::STRUCT>>&&
-        value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::wagtailwind::rpc::schema::LoadRecord, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::wagtailwind::rpc::schema::LoadRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::LoadRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::wagtailwind::rpc::schema::LoadRecord, ::capnp::Kind::STRUCT>>
-GossipDatagram::Builder::disownLoads() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::wagtailwind::rpc::schema::LoadRecord, ::capnp::Kind::STRUCT>>::
-      disown(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::wagtailwind::rpc::schema::LoadRecord,  ::capnp::Kind::STRUCT>> GossipDatagram::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::LoadRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
 inline bool GossipDatagram::Reader::hasPools() const {
-  return !_reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
 inline bool GossipDatagram::Builder::hasPools() {
-  return !_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::List<::wagtailwind::rpc::schema::PoolSummary, ::capnp::Kind::STRUCT>::Reader
-GossipDatagram::Reader::getPools() const {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::wagtailwind::rpc::schema::PoolSummary, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::wagtailwind::rpc::schema::PoolSummary, ::capnp::Kind::STRUCT>::Builder
-GossipDatagram::Builder::getPools() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::wagtailwind::rpc::schema::PoolSummary, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-inline void GossipDatagram::Builder::setPools(
-    ::capnp::List<::wagtailwind::rpc::schema::PoolSummary, ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::wagtailwind::rpc::schema::PoolSummary, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::List<::wagtailwind::rpc::schema::PoolSummary, ::capnp::Kind::STRUCT>::Builder
-GossipDatagram::Builder::initPools(unsigned int size) {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::wagtailwind::rpc::schema::PoolSummary, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::wagtailwind::rpc::schema::PoolSummary,  ::capnp::Kind::STRUCT>::Reader GossipDatagram::Reader::getPools() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::PoolSummary,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::wagtailwind::rpc::schema::PoolSummary,  ::capnp::Kind::STRUCT>::Builder GossipDatagram::Builder::getPools() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::PoolSummary,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void GossipDatagram::Builder::setPools( ::capnp::List< ::wagtailwind::rpc::schema::PoolSummary,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::PoolSummary,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::wagtailwind::rpc::schema::PoolSummary,  ::capnp::Kind::STRUCT>::Builder GossipDatagram::Builder::initPools(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::PoolSummary,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
 inline void GossipDatagram::Builder::adoptPools(
-    ::capnp::Orphan<::capnp::List<::wagtailwind::rpc::schema::PoolSummary, ::capnp::Kind::STRUCT>>&&
-        value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::wagtailwind::rpc::schema::PoolSummary, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::wagtailwind::rpc::schema::PoolSummary,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::PoolSummary,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<
-    ::capnp::List<::wagtailwind::rpc::schema::PoolSummary, ::capnp::Kind::STRUCT>>
-GossipDatagram::Builder::disownPools() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::wagtailwind::rpc::schema::PoolSummary, ::capnp::Kind::STRUCT>>::
-      disown(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::wagtailwind::rpc::schema::PoolSummary,  ::capnp::Kind::STRUCT>> GossipDatagram::Builder::disownPools() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::PoolSummary,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t GossipDatagram::Reader::getMembershipDigest() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t GossipDatagram::Reader::getMembershipDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t GossipDatagram::Builder::getMembershipDigest() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t GossipDatagram::Builder::getMembershipDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void GossipDatagram::Builder::setMembershipDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GossipDatagram::Reader::hasStatuses() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipDatagram::Builder::hasStatuses() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::wagtailwind::rpc::schema::MemberStatus,  ::capnp::Kind::STRUCT>::Reader GossipDatagram::Reader::getStatuses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::MemberStatus,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline void GossipDatagram::Builder::setMembershipDigest(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::wagtailwind::rpc::schema::MemberStatus,  ::capnp::Kind::STRUCT>::Builder GossipDatagram::Builder::getStatuses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::MemberStatus,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void GossipDatagram::Builder::setStatuses( ::capnp::List< ::wagtailwind::rpc::schema::MemberStatus,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::MemberStatus,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::wagtailwind::rpc::schema::MemberStatus,  ::capnp::Kind::STRUCT>::Builder GossipDatagram::Builder::initStatuses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::MemberStatus,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void GossipDatagram::Builder::adoptStatuses(
+    ::capnp::Orphan< ::capnp::List< ::wagtailwind::rpc::schema::MemberStatus,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::MemberStatus,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::wagtailwind::rpc::schema::MemberStatus,  ::capnp::Kind::STRUCT>> GossipDatagram::Builder::disownStatuses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::MemberStatus,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline bool GossipDatagram::Reader::getPullConfiguration() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<112>() * ::capnp::ELEMENTS);
 }
 
-inline ::wagtailwind::rpc::schema::GossipDatagram::Kind::Which GossipDatagram::Kind::Reader::which()
-    const {
-  return _reader.getDataField<Which>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline bool GossipDatagram::Builder::getPullConfiguration() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<112>() * ::capnp::ELEMENTS);
+}
+inline void GossipDatagram::Builder::setPullConfiguration(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<112>() * ::capnp::ELEMENTS, value);
 }
-inline ::wagtailwind::rpc::schema::GossipDatagram::Kind::Which
-GossipDatagram::Kind::Builder::which() {
-  return _builder.getDataField<Which>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
+
+inline bool GossipDatagram::Reader::getIntroduce() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<113>() * ::capnp::ELEMENTS);
+}
+
+inline bool GossipDatagram::Builder::getIntroduce() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<113>() * ::capnp::ELEMENTS);
+}
+inline void GossipDatagram::Builder::setIntroduce(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<113>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GossipDatagram::Reader::hasLoadWords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipDatagram::Builder::hasLoadWords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader GossipDatagram::Reader::getLoadWords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GossipDatagram::Builder::getLoadWords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void GossipDatagram::Builder::setLoadWords( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline void GossipDatagram::Builder::setLoadWords(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GossipDatagram::Builder::initLoadWords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void GossipDatagram::Builder::adoptLoadWords(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> GossipDatagram::Builder::disownLoadWords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline  ::wagtailwind::rpc::schema::GossipDatagram::Kind::Which GossipDatagram::Kind::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline  ::wagtailwind::rpc::schema::GossipDatagram::Kind::Which GossipDatagram::Kind::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
 inline bool GossipDatagram::Kind::Reader::isProbe() const {
@@ -7086,21 +7558,24 @@
 inline bool GossipDatagram::Kind::Builder::isProbe() {
   return which() == GossipDatagram::Kind::PROBE;
 }
-inline ::capnp::Void GossipDatagram::Kind::Reader::getProbe() const {
+inline  ::capnp::Void GossipDatagram::Kind::Reader::getProbe() const {
   KJ_IREQUIRE((which() == GossipDatagram::Kind::PROBE),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::capnp::Void GossipDatagram::Kind::Builder::getProbe() {
+inline  ::capnp::Void GossipDatagram::Kind::Builder::getProbe() {
   KJ_IREQUIRE((which() == GossipDatagram::Kind::PROBE),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void GossipDatagram::Kind::Builder::setProbe(::capnp::Void value) {
-  _builder.setDataField<GossipDatagram::Kind::Which>(::capnp::bounded<6>() * ::capnp::ELEMENTS,
-                                                     GossipDatagram::Kind::PROBE);
-  _builder.setDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void GossipDatagram::Kind::Builder::setProbe( ::capnp::Void value) {
+  _builder.setDataField<GossipDatagram::Kind::Which>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, GossipDatagram::Kind::PROBE);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool GossipDatagram::Kind::Reader::isAcknowledgement() const {
@@ -7109,21 +7584,24 @@
 inline bool GossipDatagram::Kind::Builder::isAcknowledgement() {
   return which() == GossipDatagram::Kind::ACKNOWLEDGEMENT;
 }
-inline ::capnp::Void GossipDatagram::Kind::Reader::getAcknowledgement() const {
+inline  ::capnp::Void GossipDatagram::Kind::Reader::getAcknowledgement() const {
   KJ_IREQUIRE((which() == GossipDatagram::Kind::ACKNOWLEDGEMENT),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::capnp::Void GossipDatagram::Kind::Builder::getAcknowledgement() {
+inline  ::capnp::Void GossipDatagram::Kind::Builder::getAcknowledgement() {
   KJ_IREQUIRE((which() == GossipDatagram::Kind::ACKNOWLEDGEMENT),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void GossipDatagram::Kind::Builder::setAcknowledgement(::capnp::Void value) {
-  _builder.setDataField<GossipDatagram::Kind::Which>(::capnp::bounded<6>() * ::capnp::ELEMENTS,
-                                                     GossipDatagram::Kind::ACKNOWLEDGEMENT);
-  _builder.setDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void GossipDatagram::Kind::Builder::setAcknowledgement( ::capnp::Void value) {
+  _builder.setDataField<GossipDatagram::Kind::Which>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, GossipDatagram::Kind::ACKNOWLEDGEMENT);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool GossipDatagram::Kind::Reader::isProbeRequest() const {
@@ -7134,48 +7612,50 @@
 }
 inline bool GossipDatagram::Kind::Reader::hasProbeRequest() const {
   if (which() != GossipDatagram::Kind::PROBE_REQUEST) return false;
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool GossipDatagram::Kind::Builder::hasProbeRequest() {
   if (which() != GossipDatagram::Kind::PROBE_REQUEST) return false;
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader GossipDatagram::Kind::Reader::getProbeRequest() const {
+inline  ::capnp::Text::Reader GossipDatagram::Kind::Reader::getProbeRequest() const {
   KJ_IREQUIRE((which() == GossipDatagram::Kind::PROBE_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder GossipDatagram::Kind::Builder::getProbeRequest() {
+inline  ::capnp::Text::Builder GossipDatagram::Kind::Builder::getProbeRequest() {
   KJ_IREQUIRE((which() == GossipDatagram::Kind::PROBE_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void GossipDatagram::Kind::Builder::setProbeRequest(::capnp::Text::Reader value) {
-  _builder.setDataField<GossipDatagram::Kind::Which>(::capnp::bounded<6>() * ::capnp::ELEMENTS,
-                                                     GossipDatagram::Kind::PROBE_REQUEST);
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void GossipDatagram::Kind::Builder::setProbeRequest( ::capnp::Text::Reader value) {
+  _builder.setDataField<GossipDatagram::Kind::Which>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, GossipDatagram::Kind::PROBE_REQUEST);
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder GossipDatagram::Kind::Builder::initProbeRequest(unsigned int size) {
-  _builder.setDataField<GossipDatagram::Kind::Which>(::capnp::bounded<6>() * ::capnp::ELEMENTS,
-                                                     GossipDatagram::Kind::PROBE_REQUEST);
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder GossipDatagram::Kind::Builder::initProbeRequest(unsigned int size) {
+  _builder.setDataField<GossipDatagram::Kind::Which>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, GossipDatagram::Kind::PROBE_REQUEST);
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void GossipDatagram::Kind::Builder::adoptProbeRequest(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  _builder.setDataField<GossipDatagram::Kind::Which>(::capnp::bounded<6>() * ::capnp::ELEMENTS,
-                                                     GossipDatagram::Kind::PROBE_REQUEST);
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  _builder.setDataField<GossipDatagram::Kind::Which>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, GossipDatagram::Kind::PROBE_REQUEST);
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> GossipDatagram::Kind::Builder::disownProbeRequest() {
+inline ::capnp::Orphan< ::capnp::Text> GossipDatagram::Kind::Builder::disownProbeRequest() {
   KJ_IREQUIRE((which() == GossipDatagram::Kind::PROBE_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool GossipDatagram::Kind::Reader::isPush() const {
@@ -7184,26 +7664,31 @@
 inline bool GossipDatagram::Kind::Builder::isPush() {
   return which() == GossipDatagram::Kind::PUSH;
 }
-inline ::capnp::Void GossipDatagram::Kind::Reader::getPush() const {
+inline  ::capnp::Void GossipDatagram::Kind::Reader::getPush() const {
   KJ_IREQUIRE((which() == GossipDatagram::Kind::PUSH),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::capnp::Void GossipDatagram::Kind::Builder::getPush() {
+inline  ::capnp::Void GossipDatagram::Kind::Builder::getPush() {
   KJ_IREQUIRE((which() == GossipDatagram::Kind::PUSH),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void GossipDatagram::Kind::Builder::setPush(::capnp::Void value) {
-  _builder.setDataField<GossipDatagram::Kind::Which>(::capnp::bounded<6>() * ::capnp::ELEMENTS,
-                                                     GossipDatagram::Kind::PUSH);
-  _builder.setDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void GossipDatagram::Kind::Builder::setPush( ::capnp::Void value) {
+  _builder.setDataField<GossipDatagram::Kind::Which>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, GossipDatagram::Kind::PUSH);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 #if !CAPNP_LITE
-inline PeerService::Client::Client(decltype(nullptr)) : ::capnp::Capability::Client(nullptr) {}
-inline PeerService::Client::Client(::kj::Own<::capnp::ClientHook>&& hook)
+inline PeerService::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline PeerService::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
     : ::capnp::Capability::Client(::kj::mv(hook)) {}
 template <typename _t, typename>
 inline PeerService::Client::Client(::kj::Own<_t>&& server)
@@ -7213,132 +7698,131 @@
     : ::capnp::Capability::Client(::kj::mv(promise)) {}
 inline PeerService::Client::Client(::kj::Exception&& exception)
     : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline ::wagtailwind::rpc::schema::PeerService::Client& PeerService::Client::operator=(
-    Client& other) {
+inline  ::wagtailwind::rpc::schema::PeerService::Client& PeerService::Client::operator=(Client& other) {
   ::capnp::Capability::Client::operator=(other);
   return *this;
 }
-inline ::wagtailwind::rpc::schema::PeerService::Client& PeerService::Client::operator=(
-    Client&& other) {
+inline  ::wagtailwind::rpc::schema::PeerService::Client& PeerService::Client::operator=(Client&& other) {
   ::capnp::Capability::Client::operator=(kj::mv(other));
   return *this;
 }
 
 #endif  // !CAPNP_LITE
 inline bool PeerService::MembersResults::Reader::hasMembers() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerService::MembersResults::Builder::hasMembers() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>::Reader
-PeerService::MembersResults::Reader::getMembers() const {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>::Builder
-PeerService::MembersResults::Builder::getMembers() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerService::MembersResults::Builder::setMembers(
-    ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>::Builder
-PeerService::MembersResults::Builder::initMembers(unsigned int size) {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>::Reader PeerService::MembersResults::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>::Builder PeerService::MembersResults::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerService::MembersResults::Builder::setMembers( ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>::Builder PeerService::MembersResults::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void PeerService::MembersResults::Builder::adoptMembers(
-    ::capnp::Orphan<
-        ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<
-    ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>>
-PeerService::MembersResults::Builder::disownMembers() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::wagtailwind::rpc::schema::MemberRecord, ::capnp::Kind::STRUCT>>::
-      disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>> PeerService::MembersResults::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtailwind::rpc::schema::MemberRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t PeerService::ConfigurationParams::Reader::getAfterVersion() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t PeerService::ConfigurationParams::Reader::getAfterVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t PeerService::ConfigurationParams::Builder::getAfterVersion() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t PeerService::ConfigurationParams::Builder::getAfterVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PeerService::ConfigurationParams::Builder::setAfterVersion(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void PeerService::ConfigurationParams::Builder::setAfterVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t PeerService::ConfigurationResults::Reader::getVersion() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t PeerService::ConfigurationResults::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t PeerService::ConfigurationResults::Builder::getVersion() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t PeerService::ConfigurationResults::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PeerService::ConfigurationResults::Builder::setVersion(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void PeerService::ConfigurationResults::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool PeerService::ConfigurationResults::Reader::hasDocument() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerService::ConfigurationResults::Builder::hasDocument() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader PeerService::ConfigurationResults::Reader::getDocument() const {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader PeerService::ConfigurationResults::Reader::getDocument() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder PeerService::ConfigurationResults::Builder::getDocument() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder PeerService::ConfigurationResults::Builder::getDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerService::ConfigurationResults::Builder::setDocument(::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void PeerService::ConfigurationResults::Builder::setDocument( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder PeerService::ConfigurationResults::Builder::initDocument(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder PeerService::ConfigurationResults::Builder::initDocument(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void PeerService::ConfigurationResults::Builder::adoptDocument(
-    ::capnp::Orphan<::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> PeerService::ConfigurationResults::Builder::disownDocument() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> PeerService::ConfigurationResults::Builder::disownDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t PeerService::ConfigurationResults::Reader::getConfirmationAgeMs() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t PeerService::ConfigurationResults::Reader::getConfirmationAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t PeerService::ConfigurationResults::Builder::getConfirmationAgeMs() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t PeerService::ConfigurationResults::Builder::getConfirmationAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void PeerService::ConfigurationResults::Builder::setConfirmationAgeMs(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void PeerService::ConfigurationResults::Builder::setConfirmationAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 #if !CAPNP_LITE
-inline Bootstrap::Client::Client(decltype(nullptr)) : ::capnp::Capability::Client(nullptr) {}
-inline Bootstrap::Client::Client(::kj::Own<::capnp::ClientHook>&& hook)
+inline Bootstrap::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline Bootstrap::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
     : ::capnp::Capability::Client(::kj::mv(hook)) {}
 template <typename _t, typename>
 inline Bootstrap::Client::Client(::kj::Own<_t>&& server)
@@ -7348,102 +7832,97 @@
     : ::capnp::Capability::Client(::kj::mv(promise)) {}
 inline Bootstrap::Client::Client(::kj::Exception&& exception)
     : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline ::wagtailwind::rpc::schema::Bootstrap::Client& Bootstrap::Client::operator=(Client& other) {
+inline  ::wagtailwind::rpc::schema::Bootstrap::Client& Bootstrap::Client::operator=(Client& other) {
   ::capnp::Capability::Client::operator=(other);
   return *this;
 }
-inline ::wagtailwind::rpc::schema::Bootstrap::Client& Bootstrap::Client::operator=(Client&& other) {
+inline  ::wagtailwind::rpc::schema::Bootstrap::Client& Bootstrap::Client::operator=(Client&& other) {
   ::capnp::Capability::Client::operator=(kj::mv(other));
   return *this;
 }
 
 #endif  // !CAPNP_LITE
 inline bool Bootstrap::AgentResults::Reader::hasAgent() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Bootstrap::AgentResults::Builder::hasAgent() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 #if !CAPNP_LITE
-inline ::wagtailwind::rpc::schema::AgentService::Client Bootstrap::AgentResults::Reader::getAgent()
-    const {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::AgentService>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::AgentService::Client Bootstrap::AgentResults::Reader::getAgent() const {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::AgentService>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::wagtailwind::rpc::schema::AgentService::Client
-Bootstrap::AgentResults::Builder::getAgent() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::AgentService>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::AgentService::Client Bootstrap::AgentResults::Builder::getAgent() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::AgentService>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::wagtailwind::rpc::schema::AgentService::Client
-Bootstrap::AgentResults::Pipeline::getAgent() {
-  return ::wagtailwind::rpc::schema::AgentService::Client(_typeless.getPointerField(0).asCap());
+inline  ::wagtailwind::rpc::schema::AgentService::Client Bootstrap::AgentResults::Pipeline::getAgent() {
+  return  ::wagtailwind::rpc::schema::AgentService::Client(_typeless.getPointerField(0).asCap());
 }
-inline void Bootstrap::AgentResults::Builder::setAgent(
-    ::wagtailwind::rpc::schema::AgentService::Client&& cap) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::AgentService>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(cap));
+inline void Bootstrap::AgentResults::Builder::setAgent( ::wagtailwind::rpc::schema::AgentService::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::AgentService>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(cap));
 }
-inline void Bootstrap::AgentResults::Builder::setAgent(
-    ::wagtailwind::rpc::schema::AgentService::Client& cap) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::AgentService>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), cap);
+inline void Bootstrap::AgentResults::Builder::setAgent( ::wagtailwind::rpc::schema::AgentService::Client& cap) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::AgentService>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), cap);
 }
 inline void Bootstrap::AgentResults::Builder::adoptAgent(
-    ::capnp::Orphan<::wagtailwind::rpc::schema::AgentService>&& value) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::AgentService>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::wagtailwind::rpc::schema::AgentService>&& value) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::AgentService>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::wagtailwind::rpc::schema::AgentService>
-Bootstrap::AgentResults::Builder::disownAgent() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::AgentService>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::wagtailwind::rpc::schema::AgentService> Bootstrap::AgentResults::Builder::disownAgent() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::AgentService>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #endif  // !CAPNP_LITE
 
 inline bool Bootstrap::PeerResults::Reader::hasPeer() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Bootstrap::PeerResults::Builder::hasPeer() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 #if !CAPNP_LITE
-inline ::wagtailwind::rpc::schema::PeerService::Client Bootstrap::PeerResults::Reader::getPeer()
-    const {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::PeerService>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::PeerService::Client Bootstrap::PeerResults::Reader::getPeer() const {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::PeerService>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::wagtailwind::rpc::schema::PeerService::Client Bootstrap::PeerResults::Builder::getPeer() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::PeerService>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wagtailwind::rpc::schema::PeerService::Client Bootstrap::PeerResults::Builder::getPeer() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::PeerService>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::wagtailwind::rpc::schema::PeerService::Client Bootstrap::PeerResults::Pipeline::getPeer() {
-  return ::wagtailwind::rpc::schema::PeerService::Client(_typeless.getPointerField(0).asCap());
+inline  ::wagtailwind::rpc::schema::PeerService::Client Bootstrap::PeerResults::Pipeline::getPeer() {
+  return  ::wagtailwind::rpc::schema::PeerService::Client(_typeless.getPointerField(0).asCap());
 }
-inline void Bootstrap::PeerResults::Builder::setPeer(
-    ::wagtailwind::rpc::schema::PeerService::Client&& cap) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::PeerService>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(cap));
+inline void Bootstrap::PeerResults::Builder::setPeer( ::wagtailwind::rpc::schema::PeerService::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::PeerService>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(cap));
 }
-inline void Bootstrap::PeerResults::Builder::setPeer(
-    ::wagtailwind::rpc::schema::PeerService::Client& cap) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::PeerService>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), cap);
+inline void Bootstrap::PeerResults::Builder::setPeer( ::wagtailwind::rpc::schema::PeerService::Client& cap) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::PeerService>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), cap);
 }
 inline void Bootstrap::PeerResults::Builder::adoptPeer(
-    ::capnp::Orphan<::wagtailwind::rpc::schema::PeerService>&& value) {
-  ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::PeerService>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::wagtailwind::rpc::schema::PeerService>&& value) {
+  ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::PeerService>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::wagtailwind::rpc::schema::PeerService>
-Bootstrap::PeerResults::Builder::disownPeer() {
-  return ::capnp::_::PointerHelpers<::wagtailwind::rpc::schema::PeerService>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::wagtailwind::rpc::schema::PeerService> Bootstrap::PeerResults::Builder::disownPeer() {
+  return ::capnp::_::PointerHelpers< ::wagtailwind::rpc::schema::PeerService>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #endif  // !CAPNP_LITE
 
-}  // namespace schema
-}  // namespace rpc
-}  // namespace wagtailwind
+}  // namespace
+}  // namespace
+}  // namespace
 
 CAPNP_END_HEADER
+
