--- /dev/null
+++ b/src/gossip/instance_list_joiner.h
@@ -0,0 +1,40 @@
+#ifndef WAGTAILWIND_GOSSIP_INSTANCE_LIST_JOINER_H_
+#define WAGTAILWIND_GOSSIP_INSTANCE_LIST_JOINER_H_
+
+#include <chrono>
+#include <thread>
+
+#include "absl/synchronization/notification.h"
+#include "core/random_source.h"
+#include "gossip/gossip_node.h"
+#include "platform/instance_list.h"
+
+namespace wagtailwind::gossip {
+
+/// \brief Reads the platform's instance list at the start and then every minute on a thread of its
+/// own, and hands it to the node.
+class InstanceListJoiner {
+ public:
+  InstanceListJoiner(platform::InstanceList& list, GossipNode& node, RandomSource& random);
+
+  /// \brief Waits for a read that is in progress.
+  ~InstanceListJoiner();
+
+  InstanceListJoiner(const InstanceListJoiner&) = delete;
+  InstanceListJoiner& operator=(const InstanceListJoiner&) = delete;
+
+ private:
+  void Loop();
+  [[nodiscard]] bool ReadOnce();
+  [[nodiscard]] std::chrono::milliseconds NextDelay(bool read_before);
+
+  platform::InstanceList& m_list;
+  GossipNode& m_node;
+  RandomSource& m_random;
+  absl::Notification m_stop;
+  std::thread m_thread;
+};
+
+}  // namespace wagtailwind::gossip
+
+#endif  // WAGTAILWIND_GOSSIP_INSTANCE_LIST_JOINER_H_
--- /dev/null
+++ b/src/gossip/rpc_peer_fetcher.h
@@ -0,0 +1,36 @@
+#ifndef WAGTAILWIND_GOSSIP_RPC_PEER_FETCHER_H_
+#define WAGTAILWIND_GOSSIP_RPC_PEER_FETCHER_H_
+
+#include <memory>
+#include <string>
+
+#include "gossip/peer_fetcher.h"
+#include "rpc/event_loop_thread.h"
+
+namespace wagtailwind::gossip {
+
+/// \brief Fetches snapshots over Cap'n Proto RPC, from the `peer` of a process's Bootstrap.
+class RpcPeerFetcher final : public PeerFetcher {
+ public:
+  explicit RpcPeerFetcher(rpc::EventLoopThread& loop);
+
+  /// \brief Ends all fetches; results that are still due are handed over as empty. Not to be called
+  /// on the loop.
+  ~RpcPeerFetcher() override;
+
+  RpcPeerFetcher(const RpcPeerFetcher&) = delete;
+  RpcPeerFetcher& operator=(const RpcPeerFetcher&) = delete;
+
+  void FetchMembers(const std::string& rpc_address, MembersDone done) override;
+  void FetchConfiguration(const std::string& rpc_address, records::ConfigurationVersion after,
+                          ConfigurationDone done) override;
+
+ private:
+  struct State;
+  rpc::EventLoopThread& m_loop;
+  const std::shared_ptr<State> m_state;
+};
+
+}  // namespace wagtailwind::gossip
+
+#endif  // WAGTAILWIND_GOSSIP_RPC_PEER_FETCHER_H_
