--- a/src/agent/endpoint_orders.cc
+++ b/src/agent/endpoint_orders.cc
@@ -24,7 +24,6 @@
   }
   try {
     m_fencing_number = records::RaiseFence(m_endpoint, m_key_values, m_random, Sleep);
-    Log(kFenceRaised, {{"endpoint", m_endpoint.value()}, {"number", m_fencing_number}});
     return true;
   } catch (const Error& error) {
     Log(kFenceUnavailable, {{"endpoint", m_endpoint.value()}, {"cause", error.what()}});
--- a/src/requests/claim_partition.cc
+++ b/src/requests/claim_partition.cc
@@ -9,6 +9,7 @@
 
 #include "core/hash.h"
 #include "core/mutant.h"
+#include "requests/log_events.h"
 
 namespace wagtailwind::requests::detail {
 
@@ -73,7 +74,8 @@
 std::vector<ClaimResult> ClaimPartitionLog::Commit(std::span<const PendingClaim> batch) {
   try {
     return CommitOrThrow(batch);
-  } catch (const Error&) {
+  } catch (const Error& error) {
+    Log(kClaimCommitFailed, {{"key", m_key}, {"error", error.name()}, {"message", error.what()}});
     // The write may have taken effect. Nobody will send these attempts, so this process may reuse
     // their claims; for any other process they are taken.
     m_loaded = false;
@@ -160,6 +162,7 @@
   for (const ClaimEntry& entry : m_head.entries) {
     Remember(entry);
   }
+  Log(kClaimsLoaded, {{"key", m_key}, {"claims", m_claims.size()}});
   m_loaded = true;
 }
 
