Ask several agents for a last resort, and the next in order before redirects

Cause: the least loaded agent of a redirect list may be leaving or lost; the plan then had nobody left, and the request was refused. Redirects now come after the second candidate, which may hold an older part of the prefix.

--- a/src/placement/attempt_plan.cc
+++ b/src/placement/attempt_plan.cc
@@ -35,8 +35,8 @@
 
 void AttemptPlan::OnRefusal(const AdmissionDecision& decision) {
   m_reason = decision.reason;
-  if (decision.reason == FailureReason::kOverBound && !m_over_bound && !m_asked.empty()) {
-    m_over_bound = m_asked.back();
+  if (decision.reason == FailureReason::kOverBound && !m_asked.empty()) {
+    m_over_bound.push_back(m_asked.back());
   }
   if (decision.redirects.empty()) {
     return;
@@ -66,13 +66,27 @@
 }
 
 std::optional<PlannedAttempt> AttemptPlan::LastResort() {
-  // Only agents at their bound are asked again: a draining one or one that limits the
-  // organisation refuses in any case.
-  if (m_tried_last_resort || !m_over_bound) {
+  if (!m_last_resorts) {
+    m_last_resorts = m_over_bound;
+    std::reverse(m_last_resorts->begin(), m_last_resorts->end());
+    // Only if an agent was at its bound: a draining one or one that limits the organisation
+    // refuses in any case.
+    if (m_least_loaded && !m_over_bound.empty()) {
+      std::erase(*m_last_resorts, *m_least_loaded);
+      m_last_resorts->push_back(*m_least_loaded);
+    }
+    if (m_last_resorts->size() > m_limits.max_last_resorts) {
+      m_last_resorts->erase(
+          m_last_resorts->begin(),
+          m_last_resorts->end() - static_cast<std::ptrdiff_t>(m_limits.max_last_resorts));
+    }
+  }
+  if (m_last_resorts->empty()) {
     return std::nullopt;
   }
-  m_tried_last_resort = true;
-  return PlannedAttempt{.endpoint = m_least_loaded.value_or(*m_over_bound), .last_resort = true};
+  PlannedAttempt attempt{.endpoint = std::move(m_last_resorts->back()), .last_resort = true};
+  m_last_resorts->pop_back();
+  return attempt;
 }
 
 }  // namespace wagtailwind::placement
--- a/src/placement/attempt_plan.h
+++ b/src/placement/attempt_plan.h
@@ -12,10 +12,13 @@
 
 /// \brief Limits of the candidates that are asked for one request.
 struct AttemptLimits {
-  /// Refusals after which no further agent is asked, apart from the last resort.
+  /// Refusals after which no further agent is asked, apart from last resorts.
   std::size_t max_candidates = 8;
-  /// Refusals after which redirects go before the remaining candidates.
-  std::size_t redirects_after = 1;
+  /// Refusals after which redirects go before the remaining candidates. The second candidate of a
+  /// chat is its home or the next in rendezvous order, where an older part of the prefix may be.
+  std::size_t redirects_after = 2;
+  /// Agents that are asked for a last resort: the least loaded one may have left since it reported.
+  std::size_t max_last_resorts = 3;
 };
 
 /// \brief One agent to ask.
@@ -25,7 +28,7 @@
 };
 
 /// \brief Which agents a router asks for one request, given the refusals so far. Never names an
-/// agent twice, except for the last resort. Used by one request at a time.
+/// agent twice, except for last resorts. Used by one request at a time.
 class AttemptPlan {
  public:
   AttemptPlan(std::vector<EndpointName> candidates, AttemptLimits limits);
@@ -52,9 +55,10 @@
   std::vector<EndpointName> m_redirects;
   std::vector<EndpointName> m_asked;
   std::optional<EndpointName> m_least_loaded;
-  /// The first agent that refused for its bound alone.
-  std::optional<EndpointName> m_over_bound;
-  bool m_tried_last_resort = false;
+  /// Agents that refused for their bound alone, in the order in which they were asked.
+  std::vector<EndpointName> m_over_bound;
+  /// In reverse order, once all candidates have refused.
+  std::optional<std::vector<EndpointName>> m_last_resorts;
   requests::FailureReason m_reason = requests::FailureReason::kNoEndpoint;
 };
 
