Allow one request below the mean, and the full cost of a returning chat

Cause: where the mean is a few requests, one request is more than the quarter above the mean.

Ruled out: requests without a prefix admitted only below 0.3 to 1.0 of the mean, so that headroom is left to returning chats.

--- a/src/placement/admission_gate.cc
+++ b/src/placement/admission_gate.cc
@@ -165,12 +165,29 @@
     if (request.last_resort || pool.peers.size() + 1 < kMinFreshEntries) {
       return {.work_tokens = capacity, .pool_is_busy = true};
     }
+    const auto own = static_cast<double>(m_ledger.Total());
+    const auto added = static_cast<double>(cost);
+    const double part = capacity / (static_cast<double>(pool.capacity) + capacity);
+    const double mean_before = (static_cast<double>(pool.work_tokens) + own) * part;
     // The mean counts the request itself: with a few agents, its cost is a part of the mean that
     // can't be left out.
-    const double work = static_cast<double>(pool.work_tokens + m_ledger.Total() + cost);
-    const double mean = work / (static_cast<double>(pool.capacity) + capacity) * capacity;
-    const double bound = std::min(m_settings.load_multiple * mean, capacity);
-    return {.work_tokens = bound, .pool_is_busy = bound >= m_settings.share_threshold * capacity};
+    const double multiple_of_mean = m_settings.load_multiple * (mean_before + added * part);
+    double bound = std::max(multiple_of_mean, FullCost(request));
+    if (own <= mean_before) {
+      // While the mean is a few requests, each of them is more than the part of the multiple above
+      // 1, and all agents would be at their bound at once. The least loaded one never is above
+      // the mean.
+      bound = std::max(bound, own + added);
+    }
+    return {.work_tokens = std::min(bound, capacity),
+            .pool_is_busy = multiple_of_mean >= m_settings.share_threshold * capacity};
+  }
+
+  // What one request brings to an engine that has no prefix of it. An engine that has the prefix
+  // may fill up to it, since it would be allowed to take the request in full.
+  double FullCost(const AdmissionRequest& request) const {
+    return static_cast<double>(request.prompt_tokens) +
+           static_cast<double>(request.max_output_tokens) * m_settings.output_token_weight;
   }
 
   FailureReason Check(const AdmissionRequest& request, std::uint64_t cost, const Bound& bound,
