--- /dev/null
+++ b/tests/histories/fault_plan.cc
@@ -0,0 +1,61 @@
+#include "histories/fault_plan.h"
+
+#include "core/random_source.h"
+
+namespace wagtailwind::histories {
+
+namespace {
+
+constexpr std::uint64_t kShortestGapMs = 200;
+constexpr std::uint64_t kGapRangeMs = 700;
+// One fault in four repeats the one before, and one in five begins together with it.
+constexpr std::uint64_t kRepeatOneIn = 4;
+constexpr std::uint64_t kTogetherOneIn = 5;
+
+const FaultKind& ChooseKind(std::span<const FaultKind> kinds, RandomSource& random) {
+  std::uint64_t total = 0;
+  for (const FaultKind& kind : kinds) {
+    total += kind.weight;
+  }
+  std::uint64_t left = random.Below(total);
+  for (const FaultKind& kind : kinds) {
+    if (left < kind.weight) {
+      return kind;
+    }
+    left -= kind.weight;
+  }
+  return kinds.back();
+}
+
+Fault ChooseFault(std::span<const FaultKind> kinds, RandomSource& random) {
+  const FaultKind& kind = ChooseKind(kinds, random);
+  const auto range = static_cast<std::uint64_t>((kind.longest - kind.shortest).count()) + 1;
+  Fault fault;
+  fault.kind = kind.name;
+  fault.target = random.Below(kind.targets);
+  fault.duration = kind.shortest + std::chrono::milliseconds(random.Below(range));
+  return fault;
+}
+
+}  // namespace
+
+std::vector<Fault> MakeFaultPlan(std::span<const FaultKind> kinds, std::uint64_t seed,
+                                 std::chrono::milliseconds length) {
+  SeededRandomSource random(seed);
+  std::vector<Fault> plan;
+  std::chrono::milliseconds time{0};
+  while (true) {
+    if (plan.empty() || random.Below(kTogetherOneIn) != 0) {
+      time += std::chrono::milliseconds(kShortestGapMs + random.Below(kGapRangeMs));
+    }
+    if (time >= length) {
+      return plan;
+    }
+    const bool repeat = !plan.empty() && random.Below(kRepeatOneIn) == 0;
+    Fault fault = repeat ? plan.back() : ChooseFault(kinds, random);
+    fault.begin = time;
+    plan.push_back(fault);
+  }
+}
+
+}  // namespace wagtailwind::histories
