--- a/tests/stand_ins/engine_options.h
+++ b/tests/stand_ins/engine_options.h
@@ -26,6 +26,8 @@
   std::uint64_t event_gap = 0;
   /// Load reports show the state of this long ago.
   std::chrono::milliseconds load_lag{0};
+  /// Each generation is written here before it starts; empty: nowhere.
+  std::string history_file;
   /// Refuse load orders with a lower fencing token than the highest one seen.
   bool checks_fencing = false;
 };
--- a/tests/stand_ins/engine_stand_in.cc
+++ b/tests/stand_ins/engine_stand_in.cc
@@ -93,6 +93,7 @@
 
 EngineStandIn::EngineStandIn(EngineOptions options)
     : m_options(std::move(options)),
+      m_history_file(m_options.history_file),
       m_incarnation(NewIncarnation()),
       m_cache(m_options.cache_tokens_limit) {
   for (std::size_t i = 0; i < m_options.concurrency; ++i) {
@@ -154,6 +155,7 @@
   const absl::MutexLock lock(&m_mutex);
   generation->id = absl::StrCat(m_incarnation, ".", m_next_number++);
   generation->duplicate_event = TakeOne(m_faults.duplicate_next);
+  m_history_file.Append(HistoryLine(*generation, m_options.name));
   m_waiting.push_back(generation);
   m_streams[generation->id] = generation;
   m_history.push_back(generation);
--- a/tests/stand_ins/engine_stand_in.h
+++ b/tests/stand_ins/engine_stand_in.h
@@ -16,6 +16,7 @@
 #include "http/server.h"
 #include "stand_ins/engine_options.h"
 #include "stand_ins/generation.h"
+#include "stand_ins/history_file.h"
 #include "stand_ins/prefix_cache.h"
 
 namespace wagtailwind::stand_ins {
@@ -73,6 +74,7 @@
   [[nodiscard]] static std::string StreamIdOf(std::string_view path);
 
   const EngineOptions m_options;
+  const HistoryFile m_history_file;
   absl::Mutex m_mutex;
   std::string m_incarnation ABSL_GUARDED_BY(m_mutex);
   std::uint64_t m_next_number ABSL_GUARDED_BY(m_mutex) = 1;
--- a/tests/stand_ins/engine_stand_in_main.cc
+++ b/tests/stand_ins/engine_stand_in_main.cc
@@ -24,7 +24,9 @@
       "event-delay-ms", "delay of cache events", cxxopts::value<int>()->default_value("200"))(
       "event-gap", "every n-th cache event is missing",
       cxxopts::value<std::uint64_t>()->default_value("0"))(
-      "load-lag-ms", "age of load reports", cxxopts::value<int>()->default_value("0"))(
+      "history-file", "file to which generations are appended",
+      cxxopts::value<std::string>()->default_value(""))("load-lag-ms", "age of load reports",
+                                                        cxxopts::value<int>()->default_value("0"))(
       "check-fencing", "refuse old fencing tokens", cxxopts::value<bool>()->default_value("false"));
   return options;
 }
@@ -40,6 +42,7 @@
   options.event_delay = std::chrono::milliseconds(parsed["event-delay-ms"].as<int>());
   options.event_gap = parsed["event-gap"].as<std::uint64_t>();
   options.load_lag = std::chrono::milliseconds(parsed["load-lag-ms"].as<int>());
+  options.history_file = parsed["history-file"].as<std::string>();
   options.checks_fencing = parsed["check-fencing"].as<bool>();
   return options;
 }
--- a/tests/stand_ins/service_stand_in.cc
+++ b/tests/stand_ins/service_stand_in.cc
@@ -84,6 +84,7 @@
   const absl::MutexLock lock(&m_mutex);
   execution.number = m_history.size() + 1;
   execution.end_ms = NowMs();
+  m_history_file.Append(HistoryLine(execution));
   m_history.push_back(execution);
   return execution;
 }
@@ -121,20 +122,24 @@
   return Answer(200, {{"ok", true}});
 }
 
+std::string ServiceStandIn::HistoryLine(const Execution& execution) const {
+  const json line = {{"service", m_name},
+                     {"number", execution.number},
+                     {"method", execution.method},
+                     {"path", execution.path},
+                     {"key", execution.key},
+                     {"body_hash", execution.body_hash},
+                     {"repeatable", execution.repeatable},
+                     {"start_ms", execution.start_ms},
+                     {"end_ms", execution.end_ms}};
+  return line.dump() + "\n";
+}
+
 http::HandlerResult ServiceStandIn::History() {
   std::string lines;
   const absl::MutexLock lock(&m_mutex);
   for (const Execution& execution : m_history) {
-    const json line = {{"service", m_name},
-                       {"number", execution.number},
-                       {"method", execution.method},
-                       {"path", execution.path},
-                       {"key", execution.key},
-                       {"body_hash", execution.body_hash},
-                       {"repeatable", execution.repeatable},
-                       {"start_ms", execution.start_ms},
-                       {"end_ms", execution.end_ms}};
-    lines += line.dump() + "\n";
+    lines += HistoryLine(execution);
   }
   return {{200, {{"Content-Type", "application/jsonl"}}, lines}, nullptr, false};
 }
--- a/tests/stand_ins/service_stand_in.h
+++ b/tests/stand_ins/service_stand_in.h
@@ -9,13 +9,16 @@
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
 #include "http/server.h"
+#include "stand_ins/history_file.h"
 
 namespace wagtailwind::stand_ins {
 
 /// \brief A plain service with calls that must not be repeated, and lookups.
 class ServiceStandIn {
  public:
-  explicit ServiceStandIn(std::string name) : m_name(std::move(name)) {}
+  /// \brief Each execution is appended to `history_file` before it is answered, if that is given.
+  explicit ServiceStandIn(std::string name, const std::string& history_file = "")
+      : m_name(std::move(name)), m_history_file(history_file) {}
 
   [[nodiscard]] http::HandlerResult Handle(const http::Request& request);
 
@@ -51,10 +54,12 @@
   http::HandlerResult Call(const http::Request& request, bool repeatable);
   http::HandlerResult Control(const http::Request& request);
   http::HandlerResult History();
+  [[nodiscard]] std::string HistoryLine(const Execution& execution) const;
   [[nodiscard]] CallFaults TakeFaults(bool repeatable);
   [[nodiscard]] Execution Execute(const http::Request& request, bool repeatable);
 
   const std::string m_name;
+  const HistoryFile m_history_file;
   absl::Mutex m_mutex;
   Faults m_faults ABSL_GUARDED_BY(m_mutex);
   std::vector<Execution> m_history ABSL_GUARDED_BY(m_mutex);
--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -75,7 +75,10 @@
   }
   for (int i = 0; i < m_options.services; ++i) {
     const std::string name = deployment.service + "-" + std::to_string(i + 1);
-    services.push_back(StartStandIn("service_stand_in", name + "-service", {"--name", name}));
+    std::vector<std::string> arguments{"--name", name};
+    arguments.insert(arguments.end(), m_options.service_arguments.begin(),
+                     m_options.service_arguments.end());
+    services.push_back(StartStandIn("service_stand_in", name + "-service", arguments));
     agents.push_back(StartDaemon(
         name, ZoneOf(i),
         "role: agent\n" + EndpointSettings(name, "service", deployment.service,
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -41,6 +41,7 @@
   /// Program name; `wagtailwindd_mutants` for a run with a mutant.
   std::string daemon = "wagtailwindd";
   std::vector<std::string> engine_arguments;
+  std::vector<std::string> service_arguments;
   /// YAML that is added to each daemon's settings.
   std::string extra_settings;
 };
