--- a/src/agent/agent_server.cc
+++ b/src/agent/agent_server.cc
@@ -7,6 +7,7 @@
 #include "agent/agent_service.h"
 #include "agent/delivery_table.h"
 #include "agent/log_events.h"
+#include "core/mutant.h"
 
 namespace wagtailwind::agent {
 
@@ -65,6 +66,9 @@
 bool AgentServer::Drain(std::chrono::milliseconds timeout) {
   const auto deadline = std::chrono::steady_clock::now() + timeout;
   m_flow.BeginStop();
+  if (MutantIs("stop_does_not_wait")) {
+    return true;
+  }
   const bool idle = m_flow.WaitIdle(timeout);
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
       deadline - std::chrono::steady_clock::now());
--- a/src/agent/answer_store.cc
+++ b/src/agent/answer_store.cc
@@ -3,6 +3,8 @@
 #include <optional>
 #include <vector>
 
+#include "core/mutant.h"
+
 namespace wagtailwind::agent {
 
 AnswerStore::AnswerStore(AnswerLimits limits, const Clock& clock)
@@ -33,7 +35,11 @@
                                                 const OrganisationName& organisation) const {
   const absl::MutexLock lock(&m_mutex);
   const auto found = m_answers.find(id);
-  if (found == m_answers.end() || found->second->Organisation() != organisation) {
+  if (found == m_answers.end()) {
+    return nullptr;
+  }
+  const bool is_own = found->second->Organisation() == organisation;
+  if (!is_own && !MutantIs("answers_ignore_organisation")) {
     return nullptr;
   }
   return found->second;
--- a/src/agent/chat_execution.cc
+++ b/src/agent/chat_execution.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "agent/log_events.h"
+#include "core/mutant.h"
 
 namespace wagtailwind::agent {
 
@@ -179,6 +180,10 @@
 }
 
 void ChatExecution::OnEnd(TransferEnd end) {
+  if (end == TransferEnd::kConnectionLost && MutantIs("cut_answer_is_whole")) {
+    Finish(kWholeAnswer);
+    return;
+  }
   if (end == TransferEnd::kConnectionLost && TryResume()) {
     return;
   }
@@ -206,6 +211,14 @@
   const std::size_t offset = m_answer->Size();
   Log(kStreamResumed, {{"answer", m_answer->Id()}, {"offset", offset}});
   m_core->parts.metrics.GetCounter("agent_stream_resumes_total").Add();
+  if (MutantIs("resume_starts_new_generation")) {
+    endpoint::GenerationRequest request;
+    request.body = Chat().body;
+    request.stream = Chat().stream;
+    request.timeout = Remaining();
+    KeepTransfer(m_core->parts.engine->Generate(request, shared_from_this()));
+    return true;
+  }
   KeepTransfer(m_core->parts.engine->Resume(stream_id, offset, Remaining(), shared_from_this()));
   return true;
 }
--- a/src/agent/service_execution.cc
+++ b/src/agent/service_execution.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "agent/log_events.h"
+#include "core/mutant.h"
 
 namespace wagtailwind::agent {
 
@@ -133,6 +134,10 @@
 }
 
 void ServiceExecution::OnAnswer(endpoint::ServiceAnswer answer) {
+  if (answer.end == TransferEnd::kConnectionLost && MutantIs("agent_sends_lost_call_again")) {
+    Send();
+    return;
+  }
   {
     const absl::MutexLock lock(&m_mutex);
     if (m_phase == Phase::kFinishing) {
--- a/src/endpoint/easy_transfer.cc
+++ b/src/endpoint/easy_transfer.cc
@@ -7,6 +7,7 @@
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
+#include "core/mutant.h"
 #include "endpoint/log_events.h"
 
 namespace wagtailwind::endpoint::detail {
@@ -51,7 +52,7 @@
     curl_easy_setopt(m_easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(m_request.body.size()));
     curl_easy_setopt(m_easy, CURLOPT_POSTFIELDS, m_request.body.c_str());
   }
-  if (!m_request.repeatable) {
+  if (!m_request.repeatable && !MutantIs("once_only_calls_reuse_connections")) {
     // libcurl sends a request again when a reused connection closes without an answer. The
     // endpoint may have run the first one, so such a request gets a connection of its own.
     curl_easy_setopt(m_easy, CURLOPT_FRESH_CONNECT, 1L);
@@ -158,7 +159,7 @@
   if (code == CURLE_OK) {
     return m_head_seen ? TransferEnd::kComplete : TransferEnd::kMalformedAnswer;
   }
-  if (!WasConnected()) {
+  if (!WasConnected() || MutantIs("lost_call_counts_as_not_sent")) {
     return TransferEnd::kNotSent;
   }
   switch (code) {
--- a/src/router/request_decision.cc
+++ b/src/router/request_decision.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/mutant.h"
+
 namespace wagtailwind::router {
 
 using requests::FailureReason;
@@ -172,9 +174,10 @@
 }
 
 Step RequestDecision::AfterUnknown(FailureReason reason) {
-  m_may_have_run = true;
+  m_may_have_run = !MutantIs("lost_attempt_is_not_run");
   m_unknown_reason = reason;
-  if (!m_policy.repeatable || m_bytes_to_caller) {
+  const bool may_run_twice = m_policy.repeatable || MutantIs("router_retries_once_only_calls");
+  if (!may_run_twice || m_bytes_to_caller) {
     return Finish(reason);
   }
   return AfterFailure(reason);
