--- a/tests/histories/execution_checks.cc
+++ b/tests/histories/execution_checks.cc
@@ -29,6 +29,10 @@
 }
 
 bool Accounts(const Call& call, const Execution& execution) {
+  const bool is_chat = call.kind != CallKind::kOnceOnly;
+  if (is_chat != execution.generation || (!is_chat && call.key != execution.key)) {
+    return false;
+  }
   return std::any_of(call.attempts.begin(), call.attempts.end(), [&](const Attempt& attempt) {
     return MayHaveRun(attempt) && attempt.start_ms <= execution.start_ms;
   });
--- a/tests/histories/history.h
+++ b/tests/histories/history.h
@@ -31,7 +31,7 @@
   int status = 0;
   /// Generated text, or the body of a service's answer.
   std::string text;
-  /// The answer ended as whole ones do: the last chunk came, after `[DONE]` for a stream.
+  /// The answer ended as whole ones do: with `[DONE]` if it is a stream, otherwise completely.
   bool whole = false;
   /// The stream ended with its last chunk, but with neither `[DONE]` nor an error event.
   bool silent_end = false;
--- /dev/null
+++ b/tests/unit/histories_requests_test.cc
@@ -0,0 +1,285 @@
+#include <algorithm>
+#include <string>
+
+#include "histories/event_reader.h"
+#include "histories/fault_plan.h"
+#include "histories/request_checks.h"
+#include "histories/token_text.h"
+#include "histories/verdict.h"
+
+// Last: its macros break the headers of Abseil.
+#include <criterion/criterion.h>
+
+namespace {
+
+using namespace wagtailwind::histories;
+
+constexpr const char* kHash = "00000000000000aa";
+
+std::string Tokens(std::uint32_t first, std::uint32_t end, const std::string& generation = "g.1") {
+  std::string text;
+  for (std::uint32_t n = first; n < end; ++n) {
+    text += (n == 0 ? "" : " ") + std::string(kHash) + "/" + generation + "/" + std::to_string(n);
+  }
+  return text;
+}
+
+Attempt MakeAttempt(Answer answer, std::int64_t start_ms, const std::string& text = "") {
+  Attempt attempt;
+  attempt.reading = 1;
+  attempt.start_ms = start_ms;
+  attempt.answer = answer;
+  attempt.text = text;
+  attempt.whole = answer == Answer::kResult;
+  return attempt;
+}
+
+Call MakeCall(CallKind kind) {
+  Call call;
+  call.id = 7;
+  call.kind = kind;
+  call.organisation = "kandy-lanka";
+  call.body_hash = kHash;
+  call.key = "key";
+  call.path = "/pickups";
+  call.tokens = 4;
+  return call;
+}
+
+Execution MakeExecution(std::int64_t start_ms, bool generation = false) {
+  Execution execution;
+  execution.endpoint = "returns-api-1";
+  execution.key = "key";
+  execution.body_hash = kHash;
+  execution.generation = generation;
+  execution.repeatable = generation;
+  execution.start_ms = start_ms;
+  return execution;
+}
+
+std::string Confirmation(const std::string& name, const std::string& key = "key") {
+  return R"({"confirmation":")" + name + R"(","path":"/pickups","key":")" + key +
+         R"(","body_hash":")" + kHash + R"("})";
+}
+
+/// A call with one execution and its result, which all checks accept.
+History SoundHistory() {
+  History history;
+  history.calls.push_back(MakeCall(CallKind::kOnceOnly));
+  history.calls[0].attempts.push_back(MakeAttempt(Answer::kLost, 100));
+  history.calls[0].attempts.push_back(MakeAttempt(Answer::kResult, 200, Confirmation("r-1")));
+  history.executions.push_back(MakeExecution(150));
+  Call stream = MakeCall(CallKind::kStream);
+  stream.attempts.push_back(MakeAttempt(Answer::kLost, 100, Tokens(0, 3)));
+  stream.attempts.push_back(MakeAttempt(Answer::kResult, 200, Tokens(3, 4)));
+  history.calls.push_back(stream);
+  history.executions.push_back(MakeExecution(150, true));
+  history.stops.push_back({"entry-1", 0});
+  return history;
+}
+
+Call& Pickup(History& history) { return history.calls[0]; }
+Call& Stream(History& history) { return history.calls[1]; }
+
+void ExpectOnly(const History& history, const std::string& promise) {
+  const Violations violations = CheckRequests(history);
+  cr_assert(!violations.empty(), "no %s was found", promise.c_str());
+  for (const Violation& violation : violations) {
+    cr_expect_str_eq(violation.promise.c_str(), promise.c_str(), "%s", violation.detail.c_str());
+  }
+}
+
+// Guards against a check that rejects what is sound.
+Test(histories_requests, accepts_a_sound_history) {
+  const Violations violations = CheckRequests(SoundHistory());
+  cr_assert(violations.empty(), "%s", violations.empty() ? "" : violations[0].detail.c_str());
+}
+
+// Guards against a second execution that goes unnoticed.
+Test(histories_requests, rejects_two_executions_of_one_key) {
+  History history = SoundHistory();
+  history.executions.push_back(MakeExecution(300));
+  ExpectOnly(history, "duplicate");
+}
+
+// Guards against a check that takes the keys of two organisations for one.
+Test(histories_requests, accepts_one_key_of_two_organisations) {
+  History history = SoundHistory();
+  Call other = MakeCall(CallKind::kOnceOnly);
+  other.organisation = "negombo-parcels";
+  other.body_hash = "00000000000000bb";
+  other.attempts.push_back(MakeAttempt(Answer::kLost, 100));
+  history.calls.push_back(other);
+  history.executions.push_back(MakeExecution(160));
+  history.executions.back().body_hash = other.body_hash;
+  cr_assert(CheckRequests(history).empty());
+}
+
+// Guards against two results of one key, which show two executions even if one was not recorded.
+Test(histories_requests, rejects_two_confirmations_of_one_key) {
+  History history = SoundHistory();
+  Pickup(history).attempts.push_back(MakeAttempt(Answer::kResult, 400, Confirmation("r-2")));
+  ExpectOnly(history, "duplicate");
+}
+
+// Guards against "not run" of a call that was run.
+Test(histories_requests, rejects_an_execution_of_a_call_that_was_not_run) {
+  History history = SoundHistory();
+  Pickup(history).attempts = {MakeAttempt(Answer::kNotRun, 100)};
+  ExpectOnly(history, "false_not_run");
+}
+
+// Guards against an execution that only a later attempt would explain.
+Test(histories_requests, rejects_an_execution_before_the_attempt_that_may_have_run) {
+  History history = SoundHistory();
+  Pickup(history).attempts[0].answer = Answer::kNotRun;
+  ExpectOnly(history, "false_not_run");
+}
+
+// Guards against "not run" of a chat that an engine generated.
+Test(histories_requests, rejects_a_generation_of_a_chat_that_was_not_run) {
+  History history = SoundHistory();
+  Stream(history).attempts = {MakeAttempt(Answer::kNotRun, 100)};
+  Stream(history).given_up = true;
+  ExpectOnly(history, "false_not_run");
+}
+
+// Guards against an execution that is explained by a call with another key or of another kind.
+Test(histories_requests, rejects_an_execution_with_the_key_of_no_call) {
+  History history = SoundHistory();
+  history.executions.push_back(MakeExecution(150));
+  history.executions.back().key = "other";
+  ExpectOnly(history, "false_not_run");
+}
+
+// Guards against an execution that no caller asked for.
+Test(histories_requests, rejects_an_execution_without_a_call) {
+  History history = SoundHistory();
+  history.executions.push_back(MakeExecution(150));
+  history.executions.back().key = "other";
+  history.executions.back().body_hash = "00000000000000cc";
+  ExpectOnly(history, "false_not_run");
+}
+
+// Guards against a truncated answer that is presented as whole.
+Test(histories_requests, rejects_a_truncated_answer) {
+  History history = SoundHistory();
+  Stream(history).attempts = {MakeAttempt(Answer::kResult, 100, Tokens(0, 3))};
+  ExpectOnly(history, "incomplete");
+}
+
+// Guards against a stream that ends as if it were whole, without its last event.
+Test(histories_requests, rejects_a_silent_end) {
+  History history = SoundHistory();
+  Stream(history).attempts[0].silent_end = true;
+  ExpectOnly(history, "incomplete");
+}
+
+// Guards against a resumed stream that leaves out events.
+Test(histories_requests, rejects_a_gap_after_resume) {
+  History history = SoundHistory();
+  Stream(history).attempts[0].text = Tokens(0, 2);
+  ExpectOnly(history, "incomplete");
+}
+
+// Guards against a resumed stream that repeats events.
+Test(histories_requests, rejects_an_overlap_after_resume) {
+  History history = SoundHistory();
+  Stream(history).attempts[1].text = Tokens(2, 4);
+  ExpectOnly(history, "incomplete");
+}
+
+// Guards against two generations in one answer.
+Test(histories_requests, rejects_joined_generations) {
+  History history = SoundHistory();
+  Stream(history).attempts[1].text = Tokens(3, 4, "g.2");
+  ExpectOnly(history, "crossed");
+}
+
+// Guards against tokens of another caller, also in an answer that was never whole.
+Test(histories_requests, rejects_tokens_of_another_caller) {
+  History history = SoundHistory();
+  Stream(history).attempts[0].text = "00000000000000bb/g.1/0";
+  ExpectOnly(history, "crossed");
+}
+
+// Guards against a service's answer that belongs to another call.
+Test(histories_requests, rejects_a_result_of_another_call) {
+  History history = SoundHistory();
+  Pickup(history).attempts[1].text = Confirmation("r-1", "other key");
+  ExpectOnly(history, "crossed");
+}
+
+// Guards against an answer that another organisation can read by its id.
+Test(histories_requests, rejects_a_resume_by_another_organisation) {
+  History history = SoundHistory();
+  Call foreign = MakeCall(CallKind::kForeignResume);
+  foreign.attempts.push_back(MakeAttempt(Answer::kLost, 100, Tokens(1, 2)));
+  history.calls.push_back(foreign);
+  ExpectOnly(history, "crossed");
+}
+
+// Guards against a chat that is never answered once all faults have ended.
+Test(histories_requests, rejects_a_chat_without_a_whole_answer) {
+  History history = SoundHistory();
+  Stream(history).attempts.pop_back();
+  ExpectOnly(history, "unanswered");
+  Stream(history).given_up = true;
+  cr_assert(CheckRequests(history).empty());
+}
+
+// Guards against a planned stop that cuts calls or misses its bound.
+Test(histories_requests, rejects_a_stop_that_cuts) {
+  History history = SoundHistory();
+  history.stops.push_back({"wagtail-llm-1", 3});
+  ExpectOnly(history, "cut_by_stop");
+  history = SoundHistory();
+  Stream(history).in_planned_stop = true;
+  ExpectOnly(history, "cut_by_stop");
+}
+
+// Guards against a reader that takes half an event, or an error, for part of the answer.
+Test(histories_requests, reads_whole_events_only) {
+  const EventReading reading = ReadEvents(
+      "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\nid: x/1\n\n"
+      "data: {\"choices\":[{\"delta\":{\"content\":\" b\"}}]}\nid: x/2\n\n"
+      "data: {\"choices\":[{\"delta\":{\"content\":\" c\"}}]}\nid: x/3\n");
+  cr_expect_str_eq(reading.text.c_str(), "a b");
+  cr_expect_str_eq(reading.first_id.c_str(), "x/1");
+  cr_expect_str_eq(reading.last_id.c_str(), "x/2");
+  cr_expect(!reading.done);
+  const EventReading failed =
+      ReadEvents("event: error\ndata: {\"error\":{\"type\":\"engine_lost\"}}\n\n");
+  cr_expect_str_eq(failed.error_type.c_str(), "engine_lost");
+  cr_expect(ReadEvents("data: [DONE]\nid: x/4\n\n").done);
+}
+
+// Guards against a plan that can't be repeated, and against one without repeated faults.
+Test(histories_requests, plans_follow_from_the_seed) {
+  const std::vector<FaultKind> kinds{
+      {"kill", 3, 2, std::chrono::milliseconds(1), std::chrono::milliseconds(9)}, {"cut", 2}};
+  const auto plan = MakeFaultPlan(kinds, 5, std::chrono::seconds(60));
+  const auto again = MakeFaultPlan(kinds, 5, std::chrono::seconds(60));
+  cr_assert_eq(plan.size(), again.size());
+  bool repeated = false;
+  for (std::size_t i = 0; i < plan.size(); ++i) {
+    cr_expect_str_eq(plan[i].kind.c_str(), again[i].kind.c_str());
+    cr_expect_eq(plan[i].begin.count(), again[i].begin.count());
+    cr_expect_eq(plan[i].target, again[i].target);
+    repeated = repeated || (i > 0 && plan[i].duration == plan[i - 1].duration &&
+                            plan[i].kind == plan[i - 1].kind);
+  }
+  cr_assert(repeated);
+}
+
+// Guards against a run that shows nothing and passes.
+Test(histories_requests, vacuous_runs_do_not_pass) {
+  Verdict verdict;
+  cr_expect_str_eq(verdict.Text().c_str(), "pass");
+  verdict.vacuous = "no fault took place";
+  cr_expect_str_eq(verdict.Text().c_str(), "vacuous");
+  verdict.violations.push_back({"duplicate", ""});
+  cr_expect_str_eq(verdict.Text().c_str(), "fail");
+}
+
+}  // namespace
