--- a/tests/histories/fault_injector.cc
+++ b/tests/histories/fault_injector.cc
@@ -17,8 +17,9 @@
 using std::chrono::milliseconds;
 using wagtailwind::testing::Fleet;
 
-constexpr const char* kHealedEngine = R"({"cut_next":0,"delay_next":0,"drop_next":0})";
-constexpr const char* kHealedService = R"({"cut_next":0,"delay_next":0})";
+constexpr const char* kHealedEngine =
+    R"({"cut_next":0,"delay_next":0,"drop_next":0,"stall":false})";
+constexpr const char* kHealedService = R"({"cut_next":0,"delay_next":0,"freeze":false})";
 constexpr const char* kHealedKeyValues =
     R"({"down":false,"slow_ms":0,"lose_next_writes":0,"drop_next_writes":0})";
 
@@ -66,6 +67,9 @@
           {"restart_engine", engines, 1, milliseconds(0), milliseconds(0)},
           {"cut_service", services, 4, milliseconds(500), milliseconds(500)},
           {"delay_service", services, 3, milliseconds(500), milliseconds(500)},
+          // Calls that wait in a frozen service run late: after their callers have given up.
+          {"freeze_service", services, 2, milliseconds(500), milliseconds(5'000)},
+          {"stall_engine", engines, 1, milliseconds(500), milliseconds(5'000)},
           {"delay_engine", engines, 1, milliseconds(500), milliseconds(500)},
           {"key_values_down", 1, 2, milliseconds(300), milliseconds(2'000)},
           {"key_values_slow", 1, 1, milliseconds(300), milliseconds(2'000)},
@@ -101,6 +105,8 @@
       {"restart_engine", R"({"restart":true})"},
       {"cut_service", R"({"cut_next":3})"},
       {"delay_service", R"({"delay_next":3,"delay_before_ms":200,"delay_after_ms":700})"},
+      {"freeze_service", R"({"freeze":true})"},
+      {"stall_engine", R"({"stall":true})"},
       {"delay_engine", R"({"delay_next":3,"delay_ms":500})"},
       {"key_values_down", R"({"down":true})"},
       {"key_values_slow", R"({"slow_ms":400})"},
@@ -160,6 +166,10 @@
     }
   } else if (StartsWith(fault, "key_values")) {
     (void)Control(*m_fleet.key_values, kHealedKeyValues);
+  } else if (fault.kind == "freeze_service") {
+    (void)Control(StandInOf(fault), R"({"freeze":false})");
+  } else if (fault.kind == "stall_engine") {
+    (void)Control(StandInOf(fault), R"({"stall":false})");
   }
 }
 
