Read the process's name from the state dump in wagtailwind wait

Cause: /state has an object under "instance", and wait read it as text. The type error was taken for an unreachable process, so wait never ended with success against a real daemon. The unit test had made up the same wrong form of the dump; it uses the daemon's form now.

--- a/src/cli/process_commands.cc
+++ b/src/cli/process_commands.cc
@@ -30,7 +30,7 @@
     const Json state = Json::parse(environment.fetch_state(process.address), nullptr, false);
     if (state.is_object() && state.contains("configuration")) {
       process.version = state["configuration"].value("version", ConfigurationVersion{0});
-      process.instance = state.value("instance", std::string());
+      process.instance = state.at("instance").value("name", std::string());
       process.reachable = true;
     }
   } catch (const ProcessUnreachable&) {
--- a/tests/unit/cli_test.cc
+++ b/tests/unit/cli_test.cc
@@ -67,7 +67,7 @@
 };
 
 std::string StateOf(const std::string& instance, int version) {
-  return Json{{"instance", instance}, {"configuration", {{"version", version}}}}.dump();
+  return Json{{"instance", {{"name", instance}}}, {"configuration", {{"version", version}}}}.dump();
 }
 
 constexpr const char* kService = "{\"kind\":\"service\",\"name\":\"s\",\"body\":{}}";
