Keep commas in the values of command-line options

The quoting of the shell was ruled out, since the harness passes the arguments by exec. After: accepted; the unit test edit_takes_a_list covers it.

--- a/src/cli/command_line.cc
+++ b/src/cli/command_line.cc
@@ -1,5 +1,8 @@
 #include "cli/command_line.h"
 
+// A value may contain commas, as in --set versions=["1","2"]; options are repeated instead.
+#define CXXOPTS_VECTOR_DELIMITER '\0'
+
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <map>
--- a/tests/unit/cli_test.cc
+++ b/tests/unit/cli_test.cc
@@ -100,6 +100,16 @@
   cr_assert(tool.Run({"list"}) == ExitCode::kPlatformUnavailable);
 }
 
+// Guards against a JSON list that is taken apart at its commas.
+Test(cli, edit_takes_a_list) {
+  ToolFixture tool;
+  const std::string model = R"({"kind":"model","name":"m","body":{"pool":"p","versions":["1"]}})";
+  cr_assert(tool.Run({"put", "-"}, model) == ExitCode::kOk);
+  cr_assert(tool.Run({"edit", "model", "m", "--set", R"(versions=["1","2"])"}) == ExitCode::kOk);
+  cr_assert_eq(Json::parse(Stored(*tool.service).records.at(0).body)["versions"],
+               Json::array({"1", "2"}));
+}
+
 // Guards against output that scripts can't parse.
 Test(cli, json_output_is_json) {
   ToolFixture tool;
