--- a/src/placement/admission_gate.cc
+++ b/src/placement/admission_gate.cc
@@ -115,7 +115,8 @@
     const absl::MutexLock lock(&m_mutex);
     return {.work_tokens = m_ledger.Total(),
             .capacity = m_endpoint.capacity,
-            .requests = static_cast<std::uint32_t>(m_ledger.Count())};
+            .requests = static_cast<std::uint32_t>(m_ledger.Count()),
+            .closed = m_closed};
   }
 
   void Close() override {
--- a/src/placement/admission_gate.h
+++ b/src/placement/admission_gate.h
@@ -57,6 +57,8 @@
   std::uint64_t work_tokens = 0;
   std::uint32_t capacity = 0;
   std::uint32_t requests = 0;
+  /// Close() was called.
+  bool closed = false;
 };
 
 /// \brief Decides at the agent whether its endpoint takes a request. It sees all work of its
--- /dev/null
+++ b/tests/histories/control_operators.h
@@ -0,0 +1,71 @@
+#ifndef WAGTAILWIND_TESTS_HISTORIES_CONTROL_OPERATORS_H_
+#define WAGTAILWIND_TESTS_HISTORIES_CONTROL_OPERATORS_H_
+
+#include <atomic>
+#include <chrono>
+#include <filesystem>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "core/random_source.h"
+#include "histories/control_history.h"
+#include "histories/recorder.h"
+
+namespace wagtailwind::histories {
+
+/// \brief Runs the command-line tool and records what it reports.
+class OperatorTool {
+ public:
+  OperatorTool(std::filesystem::path tool, std::string platform, std::filesystem::path folder)
+      : m_tool(std::move(tool)), m_platform(std::move(platform)), m_folder(std::move(folder)) {}
+
+  /// \brief Makes a change; the draft says who changes what. With `kill_after`, the tool is killed
+  /// then if it still runs.
+  ChangeReport Change(ChangeReport draft,
+                      std::optional<std::chrono::milliseconds> kill_after = std::nullopt);
+
+  [[nodiscard]] std::vector<ChangeReport> Reports() const { return m_reports.Records(); }
+
+  /// \brief Exit status and standard output of another command.
+  [[nodiscard]] std::pair<int, std::string> Run(const std::vector<std::string>& arguments) const;
+
+ private:
+  [[nodiscard]] std::vector<std::string> Arguments(const ChangeReport& draft);
+
+  std::filesystem::path m_tool;
+  std::string m_platform;
+  std::filesystem::path m_folder;
+  std::atomic<int> m_next_file{0};
+  Recorder<ChangeReport> m_reports;
+};
+
+/// \brief Operators that change records at the same time, until they are stopped.
+class Operators {
+ public:
+  Operators(OperatorTool& tool, std::uint64_t seed, int count);
+  ~Operators() { Stop(); }
+  Operators(const Operators&) = delete;
+  Operators& operator=(const Operators&) = delete;
+
+  /// \brief Returns when no change is under way; none begins until Resume().
+  void Pause();
+  void Resume() { m_paused = false; }
+  void Stop();
+
+ private:
+  void Run(const std::string& actor, std::uint64_t seed);
+  void ChangeOnce(const std::string& actor, RandomSource& random);
+
+  OperatorTool& m_tool;
+  std::atomic<bool> m_stopping{false};
+  std::atomic<bool> m_paused{false};
+  std::atomic<int> m_busy{0};
+  std::atomic<int> m_changes{0};
+  std::vector<std::thread> m_threads;
+};
+
+}  // namespace wagtailwind::histories
+
+#endif  // WAGTAILWIND_TESTS_HISTORIES_CONTROL_OPERATORS_H_
--- /dev/null
+++ b/tests/histories/control_run.cc
@@ -0,0 +1,126 @@
+#include "histories/control_run.h"
+
+#include <algorithm>
+
+#include "histories/control_changes.h"
+#include "histories/control_faults.h"
+#include "histories/control_fleet.h"
+#include "histories/control_gates.h"
+#include "histories/control_orders.h"
+#include "histories/control_scenarios.h"
+#include "histories/control_versions.h"
+
+namespace wagtailwind::histories {
+
+namespace {
+
+// Targets of the design: a change is in force within 7 s, a gate closes within 5 s, and a late
+// order is undone within 30 s.
+constexpr std::int64_t kChangeBoundMs = 7'000;
+constexpr std::int64_t kGateBoundMs = 5'000;
+constexpr std::int64_t kOrderBoundMs = 30'000;
+
+constexpr int kOperators = 3;
+constexpr std::uint64_t kLeastAccepted = 10;
+constexpr std::uint64_t kLeastExecuted = 20;
+
+/// \brief Adds the findings of checks to a verdict.
+class VerdictBuilder {
+ public:
+  explicit VerdictBuilder(const RunOptions& options) : m_order_only(options.order_only) {
+    verdict.seed = options.seed;
+    verdict.mutant = options.mutant;
+  }
+
+  void Add(const std::string& promise, const Findings& findings) {
+    for (const std::string& violation : findings.violations) {
+      verdict.violations.push_back({promise, violation});
+    }
+    verdict.counts["late_" + promise] += findings.late.size();
+    auto& longest = verdict.counts["longest_ms_" + promise];
+    longest = std::max(longest,
+                       static_cast<std::uint64_t>(std::max<std::int64_t>(findings.longest_ms, 0)));
+    for (const std::string& late : findings.late) {
+      if (!m_order_only) {
+        verdict.violations.push_back({promise + "_bound", late});
+      }
+    }
+  }
+
+  Verdict verdict;
+
+ private:
+  const bool m_order_only;
+};
+
+void CountReports(const std::vector<ChangeReport>& reports, Verdict& verdict) {
+  for (const ChangeReport& report : reports) {
+    ++verdict.counts["changes"];
+    ++verdict.counts["changes_" + std::string(ToText(report.outcome))];
+    verdict.counts["tools_killed"] += report.killed ? 1 : 0;
+  }
+}
+
+std::string WhyVacuous(const Verdict& verdict) {
+  const auto count = [&](const std::string& name) {
+    const auto found = verdict.counts.find(name);
+    return found == verdict.counts.end() ? 0 : found->second;
+  };
+  if (verdict.faults.size() < 2) {
+    return "fewer than two kinds of faults";
+  }
+  if (count("changes_accepted") < kLeastAccepted) {
+    return "few accepted changes";
+  }
+  if (count("changes_not_accepted") + count("changes_unknown") == 0) {
+    return "no refused or unknown change";
+  }
+  if (count("executed_requests") < kLeastExecuted) {
+    return "few requests";
+  }
+  return count("fencing_tokens") < 2 ? "one holder of the engine only" : "";
+}
+
+}  // namespace
+
+Verdict RunControl(const RunOptions& options) {
+  VerdictBuilder builder(options);
+  Verdict& verdict = builder.verdict;
+  ControlFleet fleet(options);
+  const records::Document before = fleet.Document();
+  std::vector<ClosedGate> gates;
+  {
+    Operators operators(fleet.tool, options.seed, kOperators);
+    verdict.faults = RunFaults(fleet, operators, options);
+    gates.push_back(DrainEngine(fleet, options.seed % 2, options.seed / 2 % 2));
+  }
+  if (!fleet.WaitSettled()) {
+    verdict.violations.push_back({"spread", "processes do not agree with the platform"});
+  }
+  const EngineHistory engine = ReplaceHolder(fleet, 0, options.seed);
+  gates.push_back(LeaveByList(fleet, 1, options.seed % 2));
+  fleet.callers.Stop();
+
+  const std::vector<ChangeReport> reports = fleet.tool.Reports();
+  const std::vector<ProcessRun> runs = fleet.Runs();
+  const std::vector<ExecutedRequest> executed = fleet.callers.Executed();
+  builder.Add("never_falls", CheckVersionsNeverFall(runs));
+  builder.Add("start", CheckStarts(runs));
+  builder.Add("spread", MeasureSpread(runs, reports, fleet.Outages(), kChangeBoundMs));
+  builder.Add("changes", CheckChanges(reports, before, fleet.Document()));
+  builder.Add("gate", CheckClosedGates(gates, executed, kGateBoundMs));
+  builder.Add("orders", CheckOrders(engine, kOrderBoundMs));
+
+  CountReports(reports, verdict);
+  verdict.counts["process_runs"] = runs.size();
+  verdict.counts["executed_requests"] = executed.size();
+  verdict.counts["engine_orders"] = engine.orders.size();
+  verdict.counts["fencing_tokens"] = engine.fence;
+  for (const ProcessRun& run : runs) {
+    verdict.counts["version_samples"] += run.samples.size();
+  }
+  verdict.vacuous = WhyVacuous(verdict);
+  return verdict;
+}
+
+}  // namespace wagtailwind::histories
--- a/tests/histories/histories_main.cc
+++ b/tests/histories/histories_main.cc
@@ -5,6 +5,7 @@
 #include <iostream>
 #include <map>
 
+#include "histories/control_run.h"
 #include "histories/requests_run.h"
 
 namespace {
@@ -16,7 +17,8 @@
 
 const std::map<std::string, std::function<Verdict(const RunOptions&)>>& Runs() {
   static const std::map<std::string, std::function<Verdict(const RunOptions&)>> runs{
-      {"requests", wagtailwind::histories::RunRequests}};
+      {"requests", wagtailwind::histories::RunRequests},
+      {"control", wagtailwind::histories::RunControl}};
   return runs;
 }
 
@@ -25,7 +27,9 @@
   options.add_options()("run", "which run", cxxopts::value<std::string>())(
       "seed", "seed of faults and callers", cxxopts::value<std::uint64_t>()->default_value("1"))(
       "mutant", "mechanism to remove", cxxopts::value<std::string>()->default_value(""))(
-      "seconds", "time during which faults begin", cxxopts::value<int>()->default_value("8"));
+      "seconds", "time during which faults begin", cxxopts::value<int>()->default_value("8"))(
+      "order-only", "report times over the bounds without a verdict",
+      cxxopts::value<bool>()->default_value("false"));
   options.parse_positional({"run"});
   return options.parse(argc, argv);
 }
@@ -39,6 +43,7 @@
     options.seed = parsed["seed"].as<std::uint64_t>();
     options.mutant = parsed["mutant"].as<std::string>();
     options.length = std::chrono::seconds(parsed["seconds"].as<int>());
+    options.order_only = parsed["order-only"].as<bool>();
     options.binary_dir = WAGTAILWIND_BINARY_DIR;
     options.source_dir = WAGTAILWIND_SOURCE_DIR;
     if (!options.mutant.empty()) {
--- a/tests/histories/run_options.h
+++ b/tests/histories/run_options.h
@@ -15,6 +15,8 @@
   std::string mutant;
   /// Time during which faults begin.
   std::chrono::seconds length{8};
+  /// Times over the design's bounds are reported, and don't fail the run.
+  bool order_only = false;
   std::filesystem::path binary_dir;
   std::filesystem::path source_dir;
 };
--- a/tests/stand_ins/engine_stand_in.cc
+++ b/tests/stand_ins/engine_stand_in.cc
@@ -324,7 +324,9 @@
   const json order = json::parse(request.body);
   const auto fence = order.at("fencing_token").get<std::uint64_t>();
   const absl::MutexLock lock(&m_mutex);
-  if (m_options.checks_fencing && fence < m_highest_fence) {
+  const bool taken = !m_options.checks_fencing || fence >= m_highest_fence;
+  m_orders.push_back({NowMs(), order.at("version").get<std::string>(), fence, taken});
+  if (!taken) {
     return Error(409, "old fencing token");
   }
   m_highest_fence = std::max(m_highest_fence, fence);
@@ -334,7 +336,14 @@
 
 http::HandlerResult EngineStandIn::Models() {
   const absl::MutexLock lock(&m_mutex);
-  return Ok({{"models", m_loaded}, {"fencing_token", m_highest_fence}});
+  json orders = json::array();
+  for (const Order& order : m_orders) {
+    orders.push_back({{"at_ms", order.at_ms},
+                      {"version", order.version},
+                      {"fencing_token", order.fencing_token},
+                      {"taken", order.taken}});
+  }
+  return Ok({{"models", m_loaded}, {"fencing_token", m_highest_fence}, {"orders", orders}});
 }
 
 http::HandlerResult EngineStandIn::CacheEvents(const http::Request& request) {
--- a/tests/stand_ins/engine_stand_in.h
+++ b/tests/stand_ins/engine_stand_in.h
@@ -46,6 +46,12 @@
     int duplicate_next = 0;
     bool stall = false;
   };
+  struct Order {
+    std::int64_t at_ms = 0;
+    std::string version;
+    std::uint64_t fencing_token = 0;
+    bool taken = false;
+  };
   struct LoadSample {
     std::chrono::steady_clock::time_point time;
     std::size_t running = 0;
@@ -85,6 +91,7 @@
   std::deque<LoadSample> m_load ABSL_GUARDED_BY(m_mutex);
   std::uint64_t m_highest_fence ABSL_GUARDED_BY(m_mutex) = 0;
   std::map<std::string, std::string> m_loaded ABSL_GUARDED_BY(m_mutex);
+  std::vector<Order> m_orders ABSL_GUARDED_BY(m_mutex);
   bool m_stopping ABSL_GUARDED_BY(m_mutex) = false;
   std::vector<std::thread> m_slots;
 };
