--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
@@ -199,6 +200,28 @@
   throw std::runtime_error(process.name + " did not become ready");
 }
 
+void Fleet::WaitAllKnown() const {
+  const std::size_t count = routers.size() + agents.size();
+  const auto knows_all = [count](const FleetProcess& process) {
+    const Json state = Json::parse(Fetch(process.addresses.at("admin"), "/state"));
+    const Json& members = state.at("gossip").at("members");
+    return std::count_if(members.begin(), members.end(), [](const Json& member) {
+             return member.at("state") == "alive";
+           }) >= static_cast<std::ptrdiff_t>(count);
+  };
+  for (const std::vector<FleetProcess>* group : {&agents, &routers}) {
+    for (const FleetProcess& process : *group) {
+      int polls = 0;
+      while (!knows_all(process)) {
+        if (++polls > kMaxReadinessPolls) {
+          throw std::runtime_error(process.name + " does not know all members");
+        }
+        std::this_thread::sleep_for(kReadinessPoll);
+      }
+    }
+  }
+}
+
 std::map<std::string, int> Fleet::StopGracefully() {
   std::map<std::string, int> statuses;
   for (std::vector<FleetProcess>* group : {&routers, &agents}) {
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -67,6 +67,10 @@
   /// \brief Puts the deployment's example records and waits until all routers and agents are ready.
   void LoadRecordsAndWaitReady();
 
+  /// \brief Waits until each router and agent knows all the others, so that all routers place
+  /// alike.
+  void WaitAllKnown() const;
+
   /// \brief Waits until a process's `/readyz` is 200. Throws std::runtime_error if it never is.
   static void WaitReady(const FleetProcess& process);
 
