Let the router follow the measured attempt plan

Cause: the router chose the next agent with rules of its own, so the figures of scripts/placement did not describe the daemon. RequestDecision now asks placement::AttemptPlan, which the measurement drives as well, and keeps only what may be said and repeated.

A chat that its home redirected goes back to the home if the other endpoint does not answer, before a third one is asked.

--- a/src/daemon/router_process.cc
+++ b/src/daemon/router_process.cc
@@ -45,8 +45,7 @@
         m_workers(std::make_unique<WorkerPool>(settings.workers, kMaxQueuedJobs)),
         m_flow(FlowSettings(m_runtime.incarnation),
                {m_runtime.loop, m_agents, *m_workers, m_runtime.configuration, m_runtime.Members(),
-                &m_runtime.Loads(), *m_selector, m_runtime.clock, m_runtime.random,
-                m_runtime.metrics}),
+                *m_selector, m_runtime.clock, m_runtime.random, m_runtime.metrics}),
         m_front_end(FrontEndSettings(settings), m_flow, m_runtime.metrics),
         m_admin(
             settings.listen.admin, m_runtime.metrics, [this] { return m_front_end.IsReady(); },
--- a/src/placement/attempt_plan.cc
+++ b/src/placement/attempt_plan.cc
@@ -13,11 +13,24 @@
 }
 
 std::optional<PlannedAttempt> AttemptPlan::Next() {
-  if (m_asked.size() >= m_limits.max_candidates) {
+  if (m_count >= m_limits.max_candidates) {
     return LastResort();
   }
+  std::optional<EndpointName> endpoint = TakeNext();
+  if (!endpoint) {
+    return LastResort();
+  }
+  if (!WasAsked(*endpoint)) {
+    m_asked.push_back(*endpoint);
+  }
+  ++m_count;
+  m_current = *endpoint;
+  return PlannedAttempt{.endpoint = *std::move(endpoint)};
+}
+
+std::optional<EndpointName> AttemptPlan::TakeNext() {
   std::optional<EndpointName> endpoint;
-  if (m_asked.size() >= m_limits.redirects_after || m_reason == FailureReason::kRedirected) {
+  if (m_count >= m_limits.redirects_after || m_reason == FailureReason::kRedirected) {
     endpoint = TakeFrom(m_redirects);
   }
   if (!endpoint) {
@@ -26,26 +39,37 @@
   if (!endpoint) {
     endpoint = TakeFrom(m_redirects);
   }
-  if (!endpoint) {
-    return LastResort();
+  if (!endpoint && !m_failed.empty()) {
+    endpoint = std::move(m_failed.back());
+    m_failed.pop_back();
   }
-  m_asked.push_back(*endpoint);
-  return PlannedAttempt{.endpoint = *std::move(endpoint)};
+  return endpoint;
 }
 
 void AttemptPlan::OnRefusal(const AdmissionDecision& decision) {
   m_reason = decision.reason;
-  if (decision.reason == FailureReason::kOverBound && !m_asked.empty()) {
-    m_over_bound.push_back(m_asked.back());
+  if (decision.reason == FailureReason::kOverBound && m_count > 0) {
+    m_over_bound.push_back(m_current);
+  }
+  if (decision.reason == FailureReason::kRedirected) {
+    // The agent serves the request itself if it comes back, should the other one be gone.
+    std::erase(m_asked, m_current);
+    m_candidates.push_back(m_current);
   }
   if (decision.redirects.empty()) {
     return;
   }
   // The latest refusal has the freshest view of the pool.
   m_redirects.assign(decision.redirects.rbegin(), decision.redirects.rend());
+  std::erase(m_redirects, m_current);
   m_least_loaded = decision.redirects.front();
 }
 
+void AttemptPlan::OnFailure(FailureReason reason) {
+  m_reason = reason;
+  m_failed.insert(m_failed.begin(), m_current);
+}
+
 FailureReason AttemptPlan::FinalReason() const noexcept {
   return m_reason == FailureReason::kOverBound ? FailureReason::kFleetFull : m_reason;
 }
--- a/src/placement/attempt_plan.h
+++ b/src/placement/attempt_plan.h
@@ -27,8 +27,9 @@
   bool last_resort = false;
 };
 
-/// \brief Which agents a router asks for one request, given the refusals so far. Never names an
-/// agent twice, except for last resorts. Used by one request at a time.
+/// \brief Which agents a router asks for one request, given the refusals so far. Names an agent
+/// twice only after it failed or redirected the request, and for last resorts. Used by one request
+/// at a time.
 class AttemptPlan {
  public:
   AttemptPlan(std::vector<EndpointName> candidates, AttemptLimits limits);
@@ -39,7 +40,12 @@
   /// \brief Takes the refusal of the agent that was named last.
   void OnRefusal(const AdmissionDecision& decision);
 
-  [[nodiscard]] std::size_t Asked() const noexcept { return m_asked.size(); }
+  /// \brief The agent that was named last did not answer. The pool may have no other one, so it is
+  /// named again after all others.
+  void OnFailure(requests::FailureReason reason);
+
+  /// \brief Attempts that were planned.
+  [[nodiscard]] std::size_t Asked() const noexcept { return m_count; }
 
   /// \brief What to tell the caller when Next() is empty.
   [[nodiscard]] requests::FailureReason FinalReason() const noexcept;
@@ -47,6 +53,7 @@
  private:
   [[nodiscard]] bool WasAsked(const EndpointName& endpoint) const;
   std::optional<EndpointName> TakeFrom(std::vector<EndpointName>& queue);
+  std::optional<EndpointName> TakeNext();
   std::optional<PlannedAttempt> LastResort();
 
   AttemptLimits m_limits;
@@ -54,6 +61,10 @@
   std::vector<EndpointName> m_candidates;
   std::vector<EndpointName> m_redirects;
   std::vector<EndpointName> m_asked;
+  /// Agents that did not answer, the first of them last.
+  std::vector<EndpointName> m_failed;
+  EndpointName m_current;
+  std::size_t m_count = 0;
   std::optional<EndpointName> m_least_loaded;
   /// Agents that refused for their bound alone, in the order in which they were asked.
   std::vector<EndpointName> m_over_bound;
--- a/src/records/configuration_view.h
+++ b/src/records/configuration_view.h
@@ -26,7 +26,7 @@
   /// Empty: all models.
   std::vector<ModelName> allowed_models;
   /// Empty: all adapters.
-  std::vector<std::string> allowed_adapters;
+  std::vector<std::string> allowed_adapters{};
 };
 
 /// \brief A priority class. A lower rank goes first.
@@ -51,7 +51,7 @@
   ServiceName pool;
   std::vector<std::string> versions;
   /// Known engines of the pool; empty: not known.
-  std::vector<ModelReplica> replicas;
+  std::vector<ModelReplica> replicas{};
 };
 
 /// \brief An adapter of a model.
--- a/src/router/flow_context.cc
+++ b/src/router/flow_context.cc
@@ -71,7 +71,7 @@
           return member.endpoint.has_value() && member.endpoint->endpoint == name;
         });
     if (found != snapshot->end()) {
-      candidates.push_back({name, found->rpc_address, found->incarnation, 1.0});
+      candidates.push_back({name, found->rpc_address, found->incarnation});
     }
   }
   return candidates;
--- a/src/router/request_decision.cc
+++ b/src/router/request_decision.cc
@@ -1,6 +1,7 @@
 #include "router/request_decision.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "core/mutant.h"
@@ -12,10 +13,6 @@
 
 namespace {
 
-bool IsBoundRefusal(FailureReason reason) noexcept {
-  return reason == FailureReason::kOverBound || reason == FailureReason::kRedirected;
-}
-
 // Refusals that another agent would repeat, or that asking another agent would make worse: an
 // organisation over its share would take the next agent's capacity, and an agent whose claim was
 // left open by a platform failure is the only one that may use that claim again.
@@ -37,10 +34,13 @@
   }
 }
 
-bool Contains(const std::vector<Candidate>& candidates, const EndpointName& endpoint) {
-  return std::any_of(candidates.begin(), candidates.end(), [&endpoint](const Candidate& candidate) {
-    return candidate.endpoint == endpoint;
-  });
+std::vector<EndpointName> NamesOf(const std::vector<Candidate>& candidates) {
+  std::vector<EndpointName> names;
+  names.reserve(candidates.size());
+  for (const Candidate& candidate : candidates) {
+    names.push_back(candidate.endpoint);
+  }
+  return names;
 }
 
 }  // namespace
@@ -49,12 +49,12 @@
                                  requests::RetryBudget& budget)
     : m_policy(policy),
       m_budget(budget),
-      m_waiting(std::make_move_iterator(candidates.begin()),
-                std::make_move_iterator(candidates.end())) {}
+      m_plan(NamesOf(candidates), policy.candidates),
+      m_known(std::move(candidates)) {}
 
 Step RequestDecision::Begin() {
   m_budget.OnRequest();
-  return StartNext(false);
+  return StartNext(0);
 }
 
 bool RequestDecision::IsCurrent(std::uint32_t attempt) noexcept {
@@ -73,8 +73,8 @@
     return {};
   }
   m_last_reason = FailureReason::kEndpointUnhealthy;
-  m_only_bound_refusals = false;
-  return StartNext(false);
+  m_plan.OnFailure(m_last_reason);
+  return StartNext(0);
 }
 
 Step RequestDecision::OnNotHandedOver(std::uint32_t attempt) {
@@ -114,10 +114,12 @@
   if (EndsRequest(refusal.reason)) {
     return Finish(refusal.reason);
   }
-  m_only_bound_refusals = m_only_bound_refusals && IsBoundRefusal(refusal.reason);
-  m_refused.push_back(m_current);
-  Prepend(refusal.redirects);
-  return StartNext(false);
+  Remember(refusal.redirects);
+  placement::AdmissionDecision decision;
+  decision.reason = refusal.reason;
+  decision.redirects = NamesOf(refusal.redirects);
+  m_plan.OnRefusal(decision);
+  return StartNext(0);
 }
 
 void RequestDecision::OnAdmitted(std::uint32_t attempt) {
@@ -185,54 +187,33 @@
 
 Step RequestDecision::AfterFailure(FailureReason reason) {
   m_last_reason = reason;
-  m_only_bound_refusals = false;
   m_phase = Phase::kIdle;
   ++m_failures;
-  // The pool may have no other endpoint, so the failed one is tried again after all others.
-  m_waiting.push_back(m_current);
-  if (m_failures >= m_policy.max_admitted || m_asked >= m_policy.max_candidates ||
-      !m_budget.TryTake()) {
+  m_plan.OnFailure(reason);
+  if (m_failures >= m_policy.max_admitted || !m_budget.TryTake()) {
     return Finish(reason);
   }
-  return StartNext(true);
+  return StartNext(m_failures);
 }
 
-Step RequestDecision::StartNext(bool after_failure) {
-  if (m_waiting.empty() || m_asked >= m_policy.max_candidates) {
-    return WhenExhausted();
+Step RequestDecision::StartNext(std::uint32_t backoff) {
+  std::optional<placement::PlannedAttempt> planned = m_plan.Next();
+  if (!planned) {
+    return Finish(m_last_reason == FailureReason::kOverBound ? FailureReason::kFleetFull
+                                                             : m_last_reason);
   }
-  Candidate next = std::move(m_waiting.front());
-  m_waiting.pop_front();
-  return StartAt(std::move(next), false, after_failure ? m_failures : 0);
-}
-
-Step RequestDecision::StartAt(Candidate candidate, bool last_resort, std::uint32_t backoff) {
-  m_current = std::move(candidate);
   m_phase = Phase::kStarting;
-  ++m_asked;
   Step step;
   step.kind = Step::Kind::kAttempt;
   step.attempt = ++m_attempt;
-  step.candidate = m_current;
-  step.last_resort = last_resort;
+  step.candidate = *std::find_if(
+      m_known.begin(), m_known.end(),
+      [&planned](const Candidate& known) { return known.endpoint == planned->endpoint; });
+  step.last_resort = planned->last_resort;
   step.backoff = backoff;
   return step;
 }
 
-Step RequestDecision::WhenExhausted() {
-  if (m_refused.empty() || !m_only_bound_refusals) {
-    return Finish(m_last_reason);
-  }
-  if (m_last_resort_used) {
-    return Finish(FailureReason::kFleetFull);
-  }
-  m_last_resort_used = true;
-  const auto least = std::min_element(
-      m_refused.begin(), m_refused.end(),
-      [](const Candidate& a, const Candidate& b) { return a.load_ratio < b.load_ratio; });
-  return StartAt(*least, true, 0);
-}
-
 Step RequestDecision::Finish(FailureReason reason) {
   m_phase = Phase::kFinished;
   Step step;
@@ -243,15 +224,13 @@
   return step;
 }
 
-void RequestDecision::Prepend(const std::vector<Candidate>& redirects) {
-  for (auto redirect = redirects.rbegin(); redirect != redirects.rend(); ++redirect) {
-    if (Contains(m_refused, redirect->endpoint)) {
-      continue;
-    }
-    std::erase_if(m_waiting, [redirect](const Candidate& candidate) {
-      return candidate.endpoint == redirect->endpoint;
+void RequestDecision::Remember(const std::vector<Candidate>& candidates) {
+  for (const Candidate& candidate : candidates) {
+    // A redirect is newer than what was known before, such as the incarnation of a restarted agent.
+    std::erase_if(m_known, [&candidate](const Candidate& known) {
+      return known.endpoint == candidate.endpoint;
     });
-    m_waiting.push_front(*redirect);
+    m_known.push_back(candidate);
   }
 }
 
--- a/src/router/request_decision.h
+++ b/src/router/request_decision.h
@@ -3,11 +3,11 @@
 
 #include <chrono>
 #include <cstdint>
-#include <deque>
 #include <string>
 #include <vector>
 
 #include "core/ids.h"
+#include "placement/attempt_plan.h"
 #include "requests/outcome.h"
 #include "requests/retry_budget.h"
 
@@ -18,8 +18,6 @@
   EndpointName endpoint;
   std::string rpc_address;
   Incarnation incarnation = 0;
-  /// Work relative to capacity as last heard; decides who takes a last-resort attempt.
-  double load_ratio = 1.0;
 };
 
 /// \brief What one request may cost.
@@ -28,8 +26,7 @@
   bool repeatable = true;
   /// Attempts that failed, or that an agent admitted.
   std::uint32_t max_admitted = 3;
-  /// Candidates that are asked, without the last resort.
-  std::uint32_t max_candidates = 8;
+  placement::AttemptLimits candidates{};
 };
 
 /// \brief Refusal of an attempt by its agent.
@@ -123,27 +120,22 @@
 
   [[nodiscard]] bool IsCurrent(std::uint32_t attempt) noexcept;
   [[nodiscard]] bool WasHandedOver() const noexcept;
-  [[nodiscard]] Step StartNext(bool after_failure);
-  [[nodiscard]] Step StartAt(Candidate candidate, bool last_resort, std::uint32_t backoff);
+  [[nodiscard]] Step StartNext(std::uint32_t backoff);
   [[nodiscard]] Step AfterFailure(requests::FailureReason reason);
   [[nodiscard]] Step AfterUnknown(requests::FailureReason reason);
-  [[nodiscard]] Step WhenExhausted();
   [[nodiscard]] Step Finish(requests::FailureReason reason);
-  void Prepend(const std::vector<Candidate>& redirects);
+  void Remember(const std::vector<Candidate>& candidates);
 
   const RequestPolicy m_policy;
   requests::RetryBudget& m_budget;
-  std::deque<Candidate> m_waiting;
-  std::vector<Candidate> m_refused;
-  Candidate m_current;
+  placement::AttemptPlan m_plan;
+  /// Addresses of the endpoints that the plan may name.
+  std::vector<Candidate> m_known;
   Phase m_phase = Phase::kIdle;
   std::uint32_t m_attempt = 0;
-  std::uint32_t m_asked = 0;
   std::uint32_t m_failures = 0;
   std::uint32_t m_unmatched = 0;
   bool m_bytes_to_caller = false;
-  bool m_last_resort_used = false;
-  bool m_only_bound_refusals = true;
   /// An attempt may have run; from then on the outcome is never "not run".
   bool m_may_have_run = false;
   requests::FailureReason m_unknown_reason = requests::FailureReason::kNone;
--- a/src/router/request_flow.cc
+++ b/src/router/request_flow.cc
@@ -20,42 +20,15 @@
 // More candidates than one request may ask, so that open circuit breakers can be passed over.
 constexpr std::size_t kCandidateLimit = 16;
 
-using LoadRatios = std::vector<std::pair<EndpointName, double>>;
-
-LoadRatios ReadLoads(const gossip::LoadView* loads, const ServiceName& pool) {
-  LoadRatios ratios;
-  if (loads == nullptr) {
-    return ratios;
-  }
-  for (const gossip::LoadEntry& entry : loads->PoolLoad(pool)) {
-    if (entry.capacity > 0) {
-      ratios.emplace_back(entry.endpoint, static_cast<double>(entry.work_tokens) / entry.capacity);
-    }
-  }
-  return ratios;
-}
-
-Candidate MakeCandidate(const gossip::Member& member, const LoadRatios& ratios) {
-  Candidate candidate{member.endpoint->endpoint, member.rpc_address, member.incarnation, 1.0};
-  const auto found = std::find_if(ratios.begin(), ratios.end(), [&candidate](const auto& ratio) {
-    return ratio.first == candidate.endpoint;
-  });
-  if (found != ratios.end()) {
-    candidate.load_ratio = found->second;
-  }
-  return candidate;
-}
-
 std::vector<Candidate> SelectCandidates(const RequestFlowParts& parts,
                                         const placement::PlacementRequest& request,
                                         std::size_t limit) {
   const gossip::MemberSnapshot members = parts.members.Members();
-  const LoadRatios ratios = limit > 1 ? ReadLoads(parts.loads, request.pool) : LoadRatios{};
   std::vector<Candidate> candidates;
   for (const gossip::Member* member :
        parts.selector.Select(request, *members, parts.clock.Now(), limit)) {
     if (member->endpoint) {
-      candidates.push_back(MakeCandidate(*member, ratios));
+      candidates.push_back({member->endpoint->endpoint, member->rpc_address, member->incarnation});
     }
   }
   return candidates;
--- a/src/router/request_flow.h
+++ b/src/router/request_flow.h
@@ -42,8 +42,6 @@
   WorkerPool& workers;
   const records::ConfigurationView& configuration;
   const gossip::MemberView& members;
-  /// May be null: the last resort then goes to the first agent that refused.
-  const gossip::LoadView* loads;
   const placement::CandidateSelector& selector;
   const Clock& clock;
   RandomSource& random;
