--- a/tests/histories/caller.cc
+++ b/tests/histories/caller.cc
@@ -209,18 +209,39 @@
   m_context.calls.Add(std::move(call));
 }
 
-void Caller::OnceOnlyAttempt(Call& call, const std::string& body, bool may_hang_up) {
+void Caller::AddServiceAttempt(Call& call, Attempt attempt, const CallerResponse& response) {
+  ReadOutcome(response, attempt);
+  attempt.text = response.body;
+  attempt.whole = attempt.answer == Answer::kResult;
+  call.attempts.push_back(std::move(attempt));
+}
+
+CallerRequest Caller::NewServiceRequest(const Call& call, const std::string& body) {
   CallerRequest request = NewRequest(call, body);
   request.path = "/services/" + m_context.deployment.service + call.path;
+  return request;
+}
+
+void Caller::OnceOnlyAttempt(Call& call, const std::string& body, bool may_hang_up) {
+  CallerRequest request = NewServiceRequest(call, body);
   if (may_hang_up && OneIn(8)) {
     request.timeout = std::chrono::milliseconds(1 + m_random.Below(100));
   }
   Attempt attempt = NewAttempt(request);
-  const CallerResponse response = SendAsCaller(request);
-  ReadOutcome(response, attempt);
-  attempt.text = response.body;
-  attempt.whole = attempt.answer == Answer::kResult;
-  call.attempts.push_back(std::move(attempt));
+  AddServiceAttempt(call, std::move(attempt), SendAsCaller(request));
+}
+
+void Caller::TwoAttemptsAtOnce(Call& call, const std::string& body) {
+  const CallerRequest first = NewServiceRequest(call, body);
+  const CallerRequest second = NewServiceRequest(call, body);
+  Attempt first_attempt = NewAttempt(first);
+  Attempt second_attempt = NewAttempt(second);
+  CallerResponse second_response;
+  std::thread thread([&second, &second_response] { second_response = SendAsCaller(second); });
+  const CallerResponse first_response = SendAsCaller(first);
+  thread.join();
+  AddServiceAttempt(call, std::move(first_attempt), first_response);
+  AddServiceAttempt(call, std::move(second_attempt), second_response);
 }
 
 void Caller::OnceOnly(bool once) {
@@ -230,7 +251,11 @@
   call.key = NewKey();
   call.in_planned_stop = once;
   for (bool again = true; again;) {
-    OnceOnlyAttempt(call, body, !once);
+    if (!once && OneIn(4)) {
+      TwoAttemptsAtOnce(call, body);
+    } else {
+      OnceOnlyAttempt(call, body, !once);
+    }
     const Answer answer = call.attempts.back().answer;
     // A call that was not run is left at times, so that a later execution has no other cause.
     again = !once && call.attempts.size() < 4 && answer != Answer::kResult && OneIn(2);
@@ -273,15 +298,10 @@
 void Caller::Lookup() {
   Call call = NewCall(CallKind::kLookup, "");
   call.path = "/status/" + std::to_string(call.id);
-  CallerRequest request = NewRequest(call, "");
+  CallerRequest request = NewServiceRequest(call, "");
   request.method = "GET";
-  request.path = "/services/" + m_context.deployment.service + call.path;
   Attempt attempt = NewAttempt(request);
-  const CallerResponse response = SendAsCaller(request);
-  ReadOutcome(response, attempt);
-  attempt.text = response.body;
-  attempt.whole = attempt.answer == Answer::kResult;
-  call.attempts.push_back(std::move(attempt));
+  AddServiceAttempt(call, std::move(attempt), SendAsCaller(request));
   m_context.calls.Add(std::move(call));
 }
 
--- a/tests/histories/caller.h
+++ b/tests/histories/caller.h
@@ -62,6 +62,9 @@
   [[nodiscard]] static Attempt NewAttempt(const CallerRequest& request);
   static void ReadOutcome(const CallerResponse& response, Attempt& attempt);
   [[nodiscard]] EventReading StreamAttempt(Call& call, CallerRequest request, Position& position);
+  static void AddServiceAttempt(Call& call, Attempt attempt, const CallerResponse& response);
+  [[nodiscard]] CallerRequest NewServiceRequest(const Call& call, const std::string& body);
+  void TwoAttemptsAtOnce(Call& call, const std::string& body);
   void OnceOnlyAttempt(Call& call, const std::string& body, bool may_hang_up);
   void RepeatOnceOnly();
   void SameKeyOfAnother(const Call& call);
--- a/tests/histories/fault_plan.cc
+++ b/tests/histories/fault_plan.cc
@@ -17,7 +17,7 @@
   for (const FaultKind& kind : kinds) {
     total += kind.weight;
   }
-  std::uint64_t left = random.Below(total);
+  std::uint64_t left = total == 0 ? 0 : random.Below(total);
   for (const FaultKind& kind : kinds) {
     if (left < kind.weight) {
       return kind;
--- a/tests/unit/histories_requests_test.cc
+++ b/tests/unit/histories_requests_test.cc
@@ -4,7 +4,6 @@
 #include "histories/event_reader.h"
 #include "histories/fault_plan.h"
 #include "histories/request_checks.h"
-#include "histories/token_text.h"
 #include "histories/verdict.h"
 
 // Last: its macros break the headers of Abseil.
@@ -12,7 +11,20 @@
 
 namespace {
 
-using namespace wagtailwind::histories;
+using wagtailwind::histories::Answer;
+using wagtailwind::histories::Attempt;
+using wagtailwind::histories::Call;
+using wagtailwind::histories::CallKind;
+using wagtailwind::histories::CheckRequests;
+using wagtailwind::histories::EventReading;
+using wagtailwind::histories::Execution;
+using wagtailwind::histories::FaultKind;
+using wagtailwind::histories::History;
+using wagtailwind::histories::MakeFaultPlan;
+using wagtailwind::histories::ReadEvents;
+using wagtailwind::histories::Verdict;
+using wagtailwind::histories::Violation;
+using wagtailwind::histories::Violations;
 
 constexpr const char* kHash = "00000000000000aa";
 
