Notice a leaving instance of the platform's list within 5 s

The gate itself was ruled out: it closes within 0.5 s once the member is known to leave. Now a process reads every 125 ms times the length of the list (1 s to 60 s), reads again after 1 s when the leaving names changed, and tells the leaving member directly. Tests: gossip_protocol, the_list_does_not_mark_a_new_incarnation_as_leaving.

--- a/src/gossip/gossip_node.h
+++ b/src/gossip/gossip_node.h
@@ -153,6 +153,7 @@
   void TickJoin(SteadyTime now);
   void TickDeadContact(SteadyTime now);
   void TakeInstances(std::vector<platform::ListedInstance> instances, SteadyTime now);
+  void NotifyLeaving(const Peer& peer, SteadyTime now);
   void LeaveNow(SteadyTime now);
 
   // Sending (gossip_node_send.cc).
--- a/src/gossip/gossip_node_members.cc
+++ b/src/gossip/gossip_node_members.cc
@@ -15,6 +15,8 @@
 constexpr std::size_t kSeedsPerContact = 5;
 constexpr milliseconds kJoinPullPeriod{2000};
 constexpr milliseconds kPullJitter{10'000};
+// The list lags by seconds: until an incarnation is this old, the line may mean its predecessor.
+constexpr milliseconds kListLag{10'000};
 
 }  // namespace
 
@@ -195,18 +197,18 @@
     }
   }
   for (const auto& [name, incarnation] : leaving) {
-    // The list lags: the line may still mean a predecessor. Leaving is final for an incarnation,
-    // so two readings must agree on it.
+    // Leaving is final for an incarnation, so two readings must agree on it.
     const auto earlier = m_listed_leaving.find(name);
     const std::optional<Peer> peer = m_members.FindPeer(name);
     if (earlier == m_listed_leaving.end() || earlier->second != incarnation ||
-        peer->state == MemberState::kDead) {
+        peer->state == MemberState::kDead || now - peer->first_seen < kListLag) {
       continue;
     }
     const auto change = m_members.MergeState(MemberKey(name, incarnation), MemberState::kLeaving,
                                              peer->state_number);
     if (change.has_value()) {
       OnChange(*change, now);
+      NotifyLeaving(*peer, now);
     }
   }
   m_listed_leaving = std::move(leaving);
@@ -216,6 +218,18 @@
   }
 }
 
+void GossipNode::NotifyLeaving(const Peer& peer, SteadyTime now) {
+  // The member must close its gate within seconds; through others the news takes longer the larger
+  // the fleet is.
+  if (peer.instance == m_self) {
+    return;
+  }
+  Datagram push = Prepare(DatagramKind::kPush);
+  push.statuses.push_back(
+      {MemberKey(peer.instance, peer.incarnation), MemberState::kLeaving, peer.state_number});
+  Send(push, peer.gossip_address, now);
+}
+
 void GossipNode::LeaveNow(SteadyTime now) {
   const auto change = m_members.LeaveSelf();
   if (!change.has_value()) {
--- a/src/gossip/instance_list_joiner.cc
+++ b/src/gossip/instance_list_joiner.cc
@@ -1,5 +1,9 @@
 #include "gossip/instance_list_joiner.h"
 
+#include <algorithm>
+#include <utility>
+#include <vector>
+
 #include "absl/time/time.h"
 #include "gossip/log_events.h"
 
@@ -9,7 +13,11 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kPeriod{60'000};
+// A leaving instance must be noticed within seconds, while all processes together make a bounded
+// number of reads: 8 a second up to 480 processes, and as many as the longest period gives above.
+constexpr milliseconds kPeriodPerInstance{125};
+constexpr milliseconds kShortestPeriod{1'000};
+constexpr milliseconds kLongestPeriod{60'000};
 // Until the first list is read, a process may know nobody.
 constexpr milliseconds kFirstReadPeriod{3'000};
 
@@ -24,28 +32,39 @@
   m_thread.join();
 }
 
-bool InstanceListJoiner::ReadOnce() {
+void InstanceListJoiner::ReadOnce() {
   try {
-    m_node.OfferInstances(m_list.Read());
-    return true;
+    std::vector<platform::ListedInstance> instances = m_list.Read();
+    m_period = std::clamp(kPeriodPerInstance * static_cast<milliseconds::rep>(instances.size()),
+                          kShortestPeriod, kLongestPeriod);
+    // Leaving is taken from two readings that agree, so the second one follows soon.
+    std::set<InstanceName> leaving;
+    for (const platform::ListedInstance& instance : instances) {
+      if (instance.leaving) {
+        leaving.insert(instance.name);
+      }
+    }
+    if (leaving != m_leaving) {
+      m_period = kShortestPeriod;
+      m_leaving = std::move(leaving);
+    }
+    m_node.OfferInstances(std::move(instances));
   } catch (const Error& error) {
     Log(kInstanceListFailed, {{"error", error.name()}, {"message", error.what()}});
-    return false;
   }
 }
 
-milliseconds InstanceListJoiner::NextDelay(bool read_before) {
-  const milliseconds period = read_before ? kPeriod : kFirstReadPeriod;
+milliseconds InstanceListJoiner::NextDelay() {
+  const milliseconds period = m_period.value_or(kFirstReadPeriod);
   // Between 0.8 and 1.2 of the period, so that a fleet that started together does not stay in step.
   return milliseconds(static_cast<milliseconds::rep>(static_cast<double>(period.count()) *
                                                      (0.8 + 0.4 * m_random.Fraction())));
 }
 
 void InstanceListJoiner::Loop() {
-  bool read_before = false;
   do {
-    read_before = ReadOnce() || read_before;
-  } while (!m_stop.WaitForNotificationWithTimeout(absl::FromChrono(NextDelay(read_before))));
+    ReadOnce();
+  } while (!m_stop.WaitForNotificationWithTimeout(absl::FromChrono(NextDelay())));
 }
 
 }  // namespace wagtailwind::gossip
--- a/src/gossip/instance_list_joiner.h
+++ b/src/gossip/instance_list_joiner.h
@@ -2,6 +2,8 @@
 #define WAGTAILWIND_GOSSIP_INSTANCE_LIST_JOINER_H_
 
 #include <chrono>
+#include <optional>
+#include <set>
 #include <thread>
 
 #include "absl/synchronization/notification.h"
@@ -11,8 +13,8 @@
 
 namespace wagtailwind::gossip {
 
-/// \brief Reads the platform's instance list at the start and then every minute on a thread of its
-/// own, and hands it to the node.
+/// \brief Reads the platform's instance list at the start and then every 1 s to 60 s, more rarely
+/// the longer the list is, on a thread of its own, and hands it to the node.
 class InstanceListJoiner {
  public:
   InstanceListJoiner(platform::InstanceList& list, GossipNode& node, RandomSource& random);
@@ -25,12 +27,15 @@
 
  private:
   void Loop();
-  [[nodiscard]] bool ReadOnce();
-  [[nodiscard]] std::chrono::milliseconds NextDelay(bool read_before);
+  void ReadOnce();
+  [[nodiscard]] std::chrono::milliseconds NextDelay();
 
   platform::InstanceList& m_list;
   GossipNode& m_node;
   RandomSource& m_random;
+  /// Empty until the first list is read.
+  std::optional<std::chrono::milliseconds> m_period;
+  std::set<InstanceName> m_leaving;
   absl::Notification m_stop;
   std::thread m_thread;
 };
--- a/src/gossip/member_table.cc
+++ b/src/gossip/member_table.cc
@@ -67,7 +67,8 @@
           .own_zone = member.zone == m_zone,
           .own_region = member.region == m_region,
           .gossip_address = member.gossip_address,
-          .rpc_address = member.rpc_address};
+          .rpc_address = member.rpc_address,
+          .first_seen = member.first_seen};
 }
 
 std::vector<MemberTable::Entry*>& MemberTable::Group(PeerGroup group) const {
--- a/src/gossip/member_table.h
+++ b/src/gossip/member_table.h
@@ -33,6 +33,7 @@
   bool own_region = false;
   std::string gossip_address;
   std::string rpc_address;
+  SteadyTime first_seen{};
 };
 
 /// \brief A change of the table.
--- a/tests/histories/control_scenarios.cc
+++ b/tests/histories/control_scenarios.cc
@@ -21,6 +21,8 @@
 // Guards only against a run that hangs; the recorded times are checked.
 constexpr seconds kMaxWait{60};
 constexpr int kBurst = 12;
+// Above the age from which gossip takes the word of the instance list on an incarnation.
+constexpr std::int64_t kListLagMs = 12'000;
 
 // A change of a scenario is repeated until it is accepted.
 ChangeReport Accepted(ControlFleet& fleet, const ChangeReport& draft) {
@@ -101,6 +103,9 @@
 ClosedGate LeaveByList(ControlFleet& fleet, std::size_t engine, std::size_t router) {
   const FleetProcess& agent = fleet.fleet.agents[engine];
   FleetProcess& slow_router = fleet.fleet.routers[router];
+  // The list may mean the predecessor of a younger process.
+  const std::int64_t started = fleet.Poller(agent).Run().started;
+  (void)WaitUntil([&] { return NowMs() >= started + kListLagMs; }, kMaxWait);
   fleet.Pause(slow_router);
   ClosedGate gate;
   gate.endpoint = agent.name;
--- a/tests/unit/gossip_protocol_test.cc
+++ b/tests/unit/gossip_protocol_test.cc
@@ -208,6 +208,23 @@
   cr_assert(cluster.RunUntil([&] { return AllHaveVersion(cluster, 120); }, seconds(60)));
 }
 
+// Guards against a successor that takes no work for good because the list still shows its
+// predecessor as leaving when it starts.
+Test(gossip_protocol, the_list_does_not_mark_a_new_incarnation_as_leaving) {
+  GossipCluster cluster({.nodes = 3, .zones = 1, .seed = 15});
+  const std::vector<wagtailwind::platform::ListedInstance> list{
+      {cluster.NameOf(2), wagtailwind::AvailabilityZoneName("zone-0"), "10.0.0.2:7000", true, {}}};
+  for (int reading = 0; reading < 5; ++reading) {
+    cluster.Node(0).OfferInstances(list);
+    cluster.Run(seconds(1));
+  }
+  cr_assert(AllAlive(cluster));
+  cluster.Run(seconds(5));
+  cluster.Node(0).OfferInstances(list);
+  cluster.Run(seconds(2));
+  cr_assert(AllHold(cluster, 2, MemberState::kLeaving));
+}
+
 // Guards against a list that lags: it must not remove live members, and its word on a leaving one
 // counts only when it is repeated for the same incarnation.
 Test(gossip_protocol, the_instance_list_brings_members_in_and_marks_leaving_ones) {
