Repeat engine orders every 20 s, so that a stale one is undone within 30 s

Cause: the target was repeated after 30 steps of 1 s, each of which takes a little longer than that, and the repeat itself reads the fence first. A stale order of a paused predecessor to an engine that does not check tokens could thus last more than 30 s. An attempt that fails is now made again at the next step instead of after another 30 s.

--- a/src/daemon/engine_orders.cc
+++ b/src/daemon/engine_orders.cc
@@ -12,9 +12,9 @@
 
 constexpr std::chrono::seconds kStepInterval{1};
 
-// A late order of a paused predecessor is undone within this time by an engine that does not check
-// fencing tokens.
-constexpr unsigned int kStepsBetweenRepeats = 30;
+// A late order of a paused predecessor, to an engine that does not check fencing tokens, is undone
+// by the next repeat. The 30 s that it may last hold the interval and two slow platform calls.
+constexpr std::chrono::seconds kRepeatInterval{20};
 
 }  // namespace
 
@@ -28,9 +28,9 @@
 
 void EngineOrders::Step() {
   const auto configuration = m_configuration.Current();
-  ++m_steps_since_apply;
+  const auto now = std::chrono::steady_clock::now();
   const bool is_new = configuration->version != m_applied_version;
-  if (configuration->version == 0 || (!is_new && m_steps_since_apply < kStepsBetweenRepeats)) {
+  if (configuration->version == 0 || (!is_new && now - m_applied_at < kRepeatInterval)) {
     return;
   }
   if (m_orders.FencingNumber() == 0 && !m_orders.RaiseFence()) {
@@ -43,11 +43,11 @@
       m_orders.SetTarget(model.name, model.versions.back());
     }
   }
-  m_steps_since_apply = 0;
   if (!m_orders.Apply()) {
     Log(kOrdersFailed, {{"endpoint", m_endpoint.endpoint.value()}});
     return;
   }
+  m_applied_at = now;
   m_applied_version = configuration->version;
   Log(kOrdersApplied, {{"endpoint", m_endpoint.endpoint.value()},
                        {"configuration", configuration->version},
--- a/src/daemon/engine_orders.h
+++ b/src/daemon/engine_orders.h
@@ -1,6 +1,7 @@
 #ifndef WAGTAILWIND_DAEMON_ENGINE_ORDERS_H_
 #define WAGTAILWIND_DAEMON_ENGINE_ORDERS_H_
 
+#include <chrono>
 #include <memory>
 #include <optional>
 
@@ -26,7 +27,7 @@
   const records::ConfigurationView& m_configuration;
   agent::EndpointOrders m_orders;
   records::ConfigurationVersion m_applied_version = 0;
-  unsigned int m_steps_since_apply = 0;
+  std::chrono::steady_clock::time_point m_applied_at;
   // Last, so that the thread ends before what it uses.
   PeriodicThread m_thread;
 };
