Let a starting process compare the platform's answer with its peers

Cause: a process that has just started became ready with whatever document the platform returned first. A stale read then put a version below the one in force everywhere into service. Reads of a running process were ruled out: the store takes only higher versions. Now an answer of the platform counts once 3 peers (or all that are known) have answered, or after 3 s, and the highest version among all is needed.

--- a/src/records/initial_load.cc
+++ b/src/records/initial_load.cc
@@ -9,22 +9,38 @@
   known = std::max(known, version);
 }
 
-// No change can be accepted while the platform is down, and one accepted before has had the whole
-// period to spread. So the highest version among a few peers is the newest one.
-InitialLoad::Decision InitialLoad::Decide(SteadyTime now) const {
-  if (m_platform_version && *m_platform_version > 0) {
-    return {Source::kPlatform, *m_platform_version, {}};
+void InitialLoad::PlatformAnswered(ConfigurationVersion version) noexcept {
+  m_platform_version = std::max(m_platform_version.value_or(0), version);
+}
+
+InitialLoad::Decision InitialLoad::BestPeer() const {
+  const auto best =
+      std::ranges::max_element(m_peers, {}, [](const auto& peer) { return peer.second; });
+  if (best == m_peers.end() || best->second == 0) {
+    return {};
   }
+  return {Source::kPeer, best->second, InstanceName(best->first)};
+}
+
+// A read of the platform may be stale, and a version that was in force before must not be left out.
+// While the platform is down no change can be accepted, and one accepted before has had the whole
+// period to spread. So in both cases the highest version among a few peers is new enough.
+InitialLoad::Decision InitialLoad::Decide(SteadyTime now) const {
+  const bool has_platform = m_platform_version && *m_platform_version > 0;
   const std::size_t needed = std::min(kMinPeers, m_reachable_peers);
-  if (now - m_started < kPeerPeriod || m_peers.empty() || m_peers.size() < needed) {
+  // Just after the start no peer may be known yet.
+  const bool peers_answered = !m_peers.empty() && m_peers.size() >= needed;
+  if (has_platform && !peers_answered && now - m_started < kPlatformPeriod) {
     return {};
   }
-  const auto best =
-      std::ranges::max_element(m_peers, {}, [](const auto& peer) { return peer.second; });
-  if (best->second == 0) {
+  if (!has_platform && (!peers_answered || now - m_started < kPeerPeriod)) {
     return {};
   }
-  return {Source::kPeer, best->second, InstanceName(best->first)};
+  const Decision best = BestPeer();
+  if (has_platform && *m_platform_version >= best.version) {
+    return {Source::kPlatform, *m_platform_version, {}};
+  }
+  return best;
 }
 
 }  // namespace wagtailwind::records
--- a/src/records/initial_load.h
+++ b/src/records/initial_load.h
@@ -14,7 +14,7 @@
 namespace wagtailwind::records {
 
 /// \brief Decides where a process that has just started takes its configuration from: the platform
-/// if it answers, otherwise the peer with the highest version.
+/// if it answers and no peer knows a higher version, otherwise the peer with the highest version.
 class InitialLoad {
  public:
   enum class Source : std::uint8_t { kNone, kPlatform, kPeer };
@@ -31,11 +31,13 @@
   static constexpr std::chrono::seconds kPeerPeriod{7};
   /// \brief So many peers must have answered, or all that can be reached.
   static constexpr std::size_t kMinPeers = 3;
+  /// \brief An answer of the platform waits for so long for the peers, since it may be stale.
+  static constexpr std::chrono::seconds kPlatformPeriod{3};
 
   explicit InitialLoad(SteadyTime started) noexcept : m_started(started) {}
 
   /// \brief The platform returned a document of this version; 0: there is none yet.
-  void PlatformAnswered(ConfigurationVersion version) noexcept { m_platform_version = version; }
+  void PlatformAnswered(ConfigurationVersion version) noexcept;
 
   /// \brief A peer has told its version; 0: it has no configuration.
   void PeerAnswered(const InstanceName& peer, ConfigurationVersion version);
@@ -47,6 +49,8 @@
   [[nodiscard]] Decision Decide(SteadyTime now) const;
 
  private:
+  [[nodiscard]] Decision BestPeer() const;
+
   SteadyTime m_started;
   std::optional<ConfigurationVersion> m_platform_version;
   std::map<std::string, ConfigurationVersion> m_peers;
