Acknowledge the probes of a superseded process, so that it learns new versions

Cause: when an agent is paused and a successor of the same name starts, peers drop the datagrams of the resumed predecessor without an answer. It then learned a new configuration only by its own read of the platform, about once a minute, although routers may still hold connections to it. Its store and watcher were ruled out: it took the version at its next read. Test: gossip_protocol, a_probe_of_a_predecessor_is_acknowledged.

--- a/src/gossip/gossip_node.cc
+++ b/src/gossip/gossip_node.cc
@@ -123,6 +123,9 @@
   const std::optional<Peer> known = m_members.FindPeer(datagram->sender);
   if (known.has_value() && known->incarnation > datagram->sender_incarnation) {
     m_metrics.stale_sender.Add();
+    // A process that was paused while its successor started. Nothing of it is taken, but the
+    // acknowledgement tells it the version in force, which it then pulls: it may still hold work.
+    HandleProbe(*datagram, source, std::nullopt, now);
     return;
   }
   const bool introduces = std::ranges::any_of(datagram->members, [&datagram](const Member& member) {
--- a/tests/unit/gossip_protocol_test.cc
+++ b/tests/unit/gossip_protocol_test.cc
@@ -106,6 +106,26 @@
       cluster.Metrics(0).GetCounter("gossip_dropped_total{reason=\"stale_sender\"}").value(), 1);
 }
 
+// Guards against a predecessor that is resumed after its successor has started and, being dropped
+// by all, never learns of a newer configuration.
+Test(gossip_protocol, a_probe_of_a_predecessor_is_acknowledged) {
+  GossipCluster cluster({.nodes = 2, .zones = 1, .seed = 16});
+  wagtailwind::gossip::Datagram probe;
+  probe.kind = wagtailwind::gossip::DatagramKind::kProbe;
+  probe.sender = cluster.Table(1).Self().instance;
+  probe.sender_incarnation = cluster.Table(1).Self().incarnation;
+  cluster.Run(seconds(5));
+  cluster.Restart(1);
+  cluster.Run(seconds(15));
+  const auto& acknowledged = cluster.Metrics(0).GetCounter(
+      "gossip_datagrams_total{direction=\"sent\",kind=\"acknowledgement\"}");
+  const auto before = acknowledged.value();
+  cluster.Inject(0, EncodeDatagram(probe));
+  cr_assert_eq(acknowledged.value(), before + 1);
+  cr_assert_eq(
+      cluster.Metrics(0).GetCounter("gossip_dropped_total{reason=\"stale_sender\"}").value(), 1);
+}
+
 // Guards against changes that miss a node, and against versions that fall, under loss and with
 // changes that are too large for a datagram.
 Test(gossip_protocol, configuration_versions_reach_all_and_never_fall) {
