--- a/src/agent/endpoint_orders.cc
+++ b/src/agent/endpoint_orders.cc
@@ -4,6 +4,7 @@
 #include <thread>
 
 #include "agent/log_events.h"
+#include "core/mutant.h"
 #include "records/fence.h"
 
 namespace wagtailwind::agent {
@@ -19,6 +20,9 @@
     : m_endpoint(endpoint), m_engine(engine), m_key_values(key_values), m_random(random) {}
 
 bool EndpointOrders::RaiseFence() {
+  if (MutantIs("order_without_fence")) {
+    return true;
+  }
   if (m_fencing_number != 0 || m_lost) {
     return m_fencing_number != 0;
   }
@@ -37,6 +41,9 @@
 }
 
 bool EndpointOrders::HoldsFence() {
+  if (MutantIs("order_without_fence")) {
+    return true;
+  }
   if (m_fencing_number == 0) {
     return false;
   }
--- a/src/daemon/configuration_loader.cc
+++ b/src/daemon/configuration_loader.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/log.h"
+#include "core/mutant.h"
 #include "daemon/log_events.h"
 
 namespace wagtailwind::daemon {
@@ -49,6 +50,11 @@
   using Source = records::InitialLoad::Source;
   const records::InitialLoad::Decision decision = m_decision.Decide(m_parts.clock.Now());
   const records::ConfigurationVersion version = m_parts.replica.Digest().version;
+  if (MutantIs("start_without_initial_load") && version != 0) {
+    m_ready = true;
+    m_on_ready();
+    return;
+  }
   // Version 0 is an empty configuration: no organisation could be served with it.
   if (decision.source == Source::kNone || version == 0 || version < decision.version) {
     return;
--- a/src/placement/admission_gate.cc
+++ b/src/placement/admission_gate.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/mutant.h"
 #include "placement/chat_key.h"
 #include "placement/class_reserve.h"
 #include "placement/organisation_shares.h"
@@ -133,7 +134,7 @@
   AdmissionDecision Decide(const AdmissionRequest& request, const PoolLoad& pool,
                            const records::Configuration& configuration, bool draining,
                            SteadyTime now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
-    if (m_closed || draining) {
+    if ((m_closed || draining) && !MutantIs("gate_ignores_drains")) {
       return Refused(FailureReason::kDraining);
     }
     if (!m_healthy) {
--- a/src/records/change.cc
+++ b/src/records/change.cc
@@ -4,6 +4,8 @@
 #include <map>
 #include <set>
 
+#include "core/mutant.h"
+
 namespace wagtailwind::records {
 
 namespace {
@@ -120,10 +122,16 @@
       if (result.swapped) {
         return ChangeResult{ChangeOutcome::kAccepted, next.version, "", ""};
       }
+      if (MutantIs("write_without_revision_check") && revision != result.revision) {
+        return Swap(document, next, result.revision);
+      }
       m_least_revision = std::max(m_least_revision, result.revision);
       m_reason = kTooManyConflictsReason;
       m_message = "other changes were made at each attempt";
     } catch (const platform::KeyValueOutcomeUnknown& error) {
+      if (MutantIs("lost_answer_not_accepted")) {
+        return ChangeResult{ChangeOutcome::kNotAccepted, 0, "answer_lost", error.what()};
+      }
       m_lost = LostWrite{revision, document.version};
       m_reason = "answer_lost";
       m_message = error.what();
--- a/src/records/configuration_store.cc
+++ b/src/records/configuration_store.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/mutant.h"
 #include "records/log_events.h"
 #include "records/record_kinds.h"
 
@@ -81,7 +82,7 @@
     records::Document next = ParseDocument(document);
     const absl::MutexLock lock(&m_update_mutex);
     const auto present = TakeSnapshot();
-    if (next.version <= present->document.version) {
+    if (next.version <= present->document.version && !MutantIs("store_takes_lower_version")) {
       return false;
     }
     std::optional<Delta> delta;
