--- a/tests/histories/control_run.cc
+++ b/tests/histories/control_run.cc
@@ -1,6 +1,7 @@
 #include "histories/control_run.h"
 
 #include <algorithm>
+#include <stdexcept>
 
 #include "histories/control_changes.h"
 #include "histories/control_faults.h"
@@ -89,16 +90,22 @@
   ControlFleet fleet(options);
   const records::Document before = fleet.Document();
   std::vector<ClosedGate> gates;
-  {
-    Operators operators(fleet.tool, options.seed, kOperators);
-    verdict.faults = RunFaults(fleet, operators, options);
-    gates.push_back(DrainEngine(fleet, options.seed % 2, options.seed / 2 % 2));
-  }
-  if (!fleet.WaitSettled()) {
-    verdict.violations.push_back({"spread", "processes do not agree with the platform"});
+  EngineHistory engine;
+  try {
+    {
+      Operators operators(fleet.tool, options.seed, kOperators);
+      verdict.faults = RunFaults(fleet, operators, options);
+      gates.push_back(DrainEngine(fleet, options.seed % 2, options.seed / 2 % 2));
+    }
+    if (!fleet.WaitSettled()) {
+      verdict.violations.push_back({"spread", "processes do not agree with the platform"});
+    }
+    engine = ReplaceHolder(fleet, 0, options.seed);
+    gates.push_back(LeaveByList(fleet, 1, options.seed % 2));
+  } catch (const std::runtime_error& error) {
+    // What was recorded until then is checked nevertheless.
+    verdict.violations.push_back({"scenario", error.what()});
   }
-  const EngineHistory engine = ReplaceHolder(fleet, 0, options.seed);
-  gates.push_back(LeaveByList(fleet, 1, options.seed % 2));
   fleet.callers.Stop();
 
   const std::vector<ChangeReport> reports = fleet.tool.Reports();
