--- a/tests/unit/gossip_protocol_test.cc
+++ b/tests/unit/gossip_protocol_test.cc
@@ -106,6 +106,26 @@
       cluster.Metrics(0).GetCounter("gossip_dropped_total{reason=\"stale_sender\"}").value(), 1);
 }
 
+// Guards against a predecessor that is resumed after its successor has started and, being dropped
+// by all, never learns of a newer configuration.
+Test(gossip_protocol, a_probe_of_a_predecessor_is_acknowledged) {
+  GossipCluster cluster({.nodes = 2, .zones = 1, .seed = 16});
+  wagtailwind::gossip::Datagram probe;
+  probe.kind = wagtailwind::gossip::DatagramKind::kProbe;
+  probe.sender = cluster.Table(1).Self().instance;
+  probe.sender_incarnation = cluster.Table(1).Self().incarnation;
+  cluster.Run(seconds(5));
+  cluster.Restart(1);
+  cluster.Run(seconds(15));
+  const auto& acknowledged = cluster.Metrics(0).GetCounter(
+      "gossip_datagrams_total{direction=\"sent\",kind=\"acknowledgement\"}");
+  const auto before = acknowledged.value();
+  cluster.Inject(0, EncodeDatagram(probe));
+  cr_assert_eq(acknowledged.value(), before + 1);
+  cr_assert_eq(
+      cluster.Metrics(0).GetCounter("gossip_dropped_total{reason=\"stale_sender\"}").value(), 1);
+}
+
 // Guards against changes that miss a node, and against versions that fall, under loss and with
 // changes that are too large for a datagram.
 Test(gossip_protocol, configuration_versions_reach_all_and_never_fall) {
@@ -208,6 +228,23 @@
   cr_assert(cluster.RunUntil([&] { return AllHaveVersion(cluster, 120); }, seconds(60)));
 }
 
+// Guards against a successor that takes no work for good because the list still shows its
+// predecessor as leaving when it starts.
+Test(gossip_protocol, the_list_does_not_mark_a_new_incarnation_as_leaving) {
+  GossipCluster cluster({.nodes = 3, .zones = 1, .seed = 15});
+  const std::vector<wagtailwind::platform::ListedInstance> list{
+      {cluster.NameOf(2), wagtailwind::AvailabilityZoneName("zone-0"), "10.0.0.2:7000", true, {}}};
+  for (int reading = 0; reading < 5; ++reading) {
+    cluster.Node(0).OfferInstances(list);
+    cluster.Run(seconds(1));
+  }
+  cr_assert(AllAlive(cluster));
+  cluster.Run(seconds(5));
+  cluster.Node(0).OfferInstances(list);
+  cluster.Run(seconds(2));
+  cr_assert(AllHold(cluster, 2, MemberState::kLeaving));
+}
+
 // Guards against a list that lags: it must not remove live members, and its word on a leaving one
 // counts only when it is repeated for the same incarnation.
 Test(gossip_protocol, the_instance_list_brings_members_in_and_marks_leaving_ones) {
