Write log times without quotes

The log library keeps the quotes of a pattern's quoted letters, so times read 2026-12-04'T'05:02:55.257'Z'. The program propagation could not parse them and reported delays of 0; it now fails on a time that it cannot read.

--- a/src/core/log.cc
+++ b/src/core/log.cc
@@ -52,8 +52,10 @@
 
 void InitialiseLogging(LogLevel minimum, std::string_view process_name) {
   ProcessName() = std::string(process_name);
+  // Two conversions, because this library would write quoted letters of a pattern with their
+  // quotes.
   const log4cxx::LayoutPtr layout = std::make_shared<log4cxx::PatternLayout>(
-      LOG4CXX_STR("{\"time\":\"%d{yyyy-MM-dd'T'HH:mm:ss.SSS'Z'}{UTC}\",%m%n"));
+      LOG4CXX_STR("{\"time\":\"%d{yyyy-MM-dd}{UTC}T%d{HH:mm:ss.SSS}{UTC}Z\",%m%n"));
   const auto appender =
       std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
   const auto root = log4cxx::Logger::getRootLogger();
--- a/tools/propagation_main.cc
+++ b/tools/propagation_main.cc
@@ -159,6 +159,9 @@
   int thousandths = 0;
   char dot = 0;
   input >> dot >> thousandths;
+  if (!input) {
+    throw std::runtime_error("the time of a log line cannot be read: " + text);
+  }
   return system_clock::from_time_t(timegm(&parts)) + milliseconds(thousandths);
 }
 
