Push deaths at once, and count only changes that were sent

Cause: the first probe fails after 1 s on average, 0.7 s and 3 s pass until the death is declared, and then it waited for regular pushes and probes at each hop.

Changes: a datagram holds about 5 member records, but up to 48 queued changes were counted as sent for each datagram and dropped at the limit, most without ever having been sent. With 100 daemons started together, it took until the next reading of the instance list, 82 s after the start, until all knew all.

--- a/src/gossip/change_queue.cc
+++ b/src/gossip/change_queue.cc
@@ -15,16 +15,13 @@
   found->times_sent = 0;
 }
 
-std::vector<ChangeQueue::Item> ChangeQueue::Next(std::size_t count, std::uint32_t limit) {
-  const std::size_t taken = std::min(count, m_items.size());
-  const auto end = m_items.begin() + static_cast<std::ptrdiff_t>(taken);
+void ChangeQueue::Send(std::size_t count, std::uint32_t limit, const Place& place) {
+  const auto end = m_items.begin() + static_cast<std::ptrdiff_t>(std::min(count, m_items.size()));
   std::ranges::partial_sort(m_items, end, std::ranges::less(), &Item::times_sent);
-  for (auto item = m_items.begin(); item != end; ++item) {
+  for (auto item = m_items.begin(); item != end && place(*item); ++item) {
     ++item->times_sent;
   }
-  std::vector<Item> next(m_items.begin(), end);
   std::erase_if(m_items, [limit](const Item& item) { return item.times_sent >= limit; });
-  return next;
 }
 
 std::size_t ChangeQueue::CountBelow(std::uint32_t times) const noexcept {
--- a/src/gossip/change_queue.h
+++ b/src/gossip/change_queue.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <vector>
 
 #include "core/ids.h"
@@ -23,9 +24,12 @@
   /// \brief Adds a change; it replaces an older one of the same member.
   void Add(const InstanceName& instance, bool full);
 
-  /// \brief Up to `count` items with the fewest transmissions, each counted as sent once more. An
-  /// item that has been sent `limit` times is removed.
-  [[nodiscard]] std::vector<Item> Next(std::size_t count, std::uint32_t limit);
+  /// \brief Whether an item was put into the message.
+  using Place = std::function<bool(const Item&)>;
+
+  /// \brief Offers up to `count` items, those with the fewest transmissions first, until one does
+  /// not fit. Each one that does is counted as sent once more, and removed after `limit` times.
+  void Send(std::size_t count, std::uint32_t limit, const Place& place);
 
   /// \brief Number of items that were sent fewer than `times` times.
   [[nodiscard]] std::size_t CountBelow(std::uint32_t times) const noexcept;
--- a/src/gossip/gossip_node.cc
+++ b/src/gossip/gossip_node.cc
@@ -87,6 +87,7 @@
   AnnounceConfiguration(now);
   TickProbe(now);
   TickSuspicions(now);
+  PushDeaths(now);
   TickPush(now);
   TickDeadContact(now);
   TickJoin(now);
@@ -148,6 +149,7 @@
   HandleProbe(*datagram, peer->gossip_address, peer, now);
   HandleAcknowledgement(*datagram, now);
   HandleProbeRequest(*datagram, *peer, now);
+  PushDeaths(now);
   CompareDigest(datagram->membership_digest, *peer, now);
   const bool doubted = peer->state == MemberState::kDead || peer->state == MemberState::kSuspect;
   if (datagram->introduce || refuted || (doubted && datagram->kind != DatagramKind::kProbe)) {
--- a/src/gossip/gossip_node.h
+++ b/src/gossip/gossip_node.h
@@ -135,6 +135,7 @@
   void HandleAcknowledgement(const Datagram& datagram, SteadyTime now);
   void HandleProbeRequest(const Datagram& datagram, const Peer& peer, SteadyTime now);
   [[nodiscard]] std::optional<Peer> NextProbeTarget();
+  [[nodiscard]] std::optional<Peer> TargetInFailingZone();
 
   // Configuration (gossip_node_configuration.cc).
   void AnnounceConfiguration(SteadyTime now);
@@ -159,6 +160,7 @@
 
   // Sending (gossip_node_send.cc).
   void TickPush(SteadyTime now);
+  void PushDeaths(SteadyTime now);
   void PushTo(const Peer& peer, SteadyTime now);
   [[nodiscard]] std::optional<Peer> PushTarget(double own_zone_share);
   [[nodiscard]] std::chrono::milliseconds TransitBound(const Peer& peer, SteadyTime now) const;
@@ -205,6 +207,8 @@
   absl::flat_hash_map<InstanceName, Incarnation> m_listed_leaving;
 
   SteadyTime m_next_push;
+  bool m_has_new_deaths = false;
+  SteadyTime m_next_death_push{};
   SteadyTime m_next_dead_contact;
   SteadyTime m_next_seed_contact{};
   SteadyTime m_next_housekeeping{};
--- a/src/gossip/gossip_node_members.cc
+++ b/src/gossip/gossip_node_members.cc
@@ -61,6 +61,7 @@
   } else {
     m_suspicions.erase(member.instance);
   }
+  m_has_new_deaths = m_has_new_deaths || member.state == MemberState::kDead;
 }
 
 void GossipNode::LogChange(const MemberChange& change) {
--- a/src/gossip/gossip_node_send.cc
+++ b/src/gossip/gossip_node_send.cc
@@ -31,6 +31,11 @@
 constexpr std::size_t kBacklog = 16;
 constexpr std::uint32_t kHardlySent = 3;
 
+// Without pushes of their own, deaths wait for the next regular push at each hop, which takes 2 s
+// until half of 1,840 processes know.
+constexpr std::size_t kDeathFanOut = 3;
+constexpr std::chrono::milliseconds kDeathPushPeriod{300};
+
 std::size_t RecordBytes(const Member& member) noexcept {
   std::size_t bytes = kRecordBytes + member.instance.value().size() + member.zone.value().size() +
                       member.region.value().size() + member.rpc_address.size() +
@@ -101,6 +106,23 @@
   Send(push, peer.gossip_address, now);
 }
 
+void GossipNode::PushDeaths(SteadyTime now) {
+  if (!m_has_new_deaths || now < m_next_death_push || m_budget.Level(now) < kLowBudget) {
+    return;
+  }
+  m_has_new_deaths = false;
+  m_next_death_push = now + kDeathPushPeriod;
+  for (std::size_t i = 0; i < kDeathFanOut; ++i) {
+    const std::optional<Peer> peer = PushTarget(1.0 / kDeathFanOut);
+    if (peer.has_value()) {
+      Datagram push = Prepare(DatagramKind::kPush);
+      std::size_t room = kMaxDatagramBytes - kBaseBytes;
+      FillChanges(push, room);
+      Send(push, peer->gossip_address, now);
+    }
+  }
+}
+
 Datagram GossipNode::Prepare(DatagramKind kind) const {
   Datagram datagram;
   datagram.sender = m_self;
@@ -120,14 +142,14 @@
   const std::uint32_t limit = TransmissionLimit(m_members.CountOf(PeerGroup::kOwnZone) +
                                                 m_members.CountOf(PeerGroup::kOtherZones));
   const std::size_t count = std::min(kMaxItems, room / kStatusBytes);
-  for (const ChangeQueue::Item& item : m_changes.Next(count, limit)) {
+  m_changes.Send(count, limit, [&](const ChangeQueue::Item& item) {
     const std::optional<Member> member = m_members.Find(item.instance);
     if (!member.has_value()) {
-      continue;
+      return true;
     }
     const std::size_t bytes = item.full ? RecordBytes(*member) : kStatusBytes;
     if (bytes > room) {
-      break;
+      return false;
     }
     room -= bytes;
     if (item.full) {
@@ -136,7 +158,8 @@
       datagram.statuses.push_back(
           {MemberKey(member->instance, member->incarnation), member->state, member->state_number});
     }
-  }
+    return true;
+  });
 }
 
 void GossipNode::Fill(Datagram& datagram, const Peer& peer, std::size_t max_loads) {
