--- a/src/router/active_request.cc
+++ b/src/router/active_request.cc
@@ -141,7 +141,7 @@
 }
 
 void ActiveRequest::OnAdmitted(std::string_view answer_id) {
-  m_answer_id = CallerAnswerId(m_candidate.endpoint, answer_id);
+  m_answer_id = answer_id;
   m_decision.OnAdmitted(m_number);
 }
 
--- a/src/router/validated_request.cc
+++ b/src/router/validated_request.cc
@@ -9,6 +9,7 @@
 
 #include "absl/strings/match.h"
 #include "core/hash.h"
+#include "requests/answer_id.h"
 #include "requests/claim_log.h"
 #include "router/service_path.h"
 
@@ -365,23 +366,18 @@
 
 }  // namespace
 
-std::string CallerAnswerId(const EndpointName& endpoint, std::string_view answer_id) {
-  return endpoint.value() + "~" + std::string(answer_id);
-}
-
 std::optional<ResumePoint> ParseLastEventId(std::string_view text) {
   const std::size_t slash = text.rfind('/');
-  const std::size_t mark = text.find('~');
-  if (slash == std::string_view::npos || mark == std::string_view::npos || mark == 0 ||
-      mark + 1 >= slash || !IsPrintable(text)) {
+  if (slash == std::string_view::npos || !IsPrintable(text)) {
     return std::nullopt;
   }
+  const std::string_view answer_id = text.substr(0, slash);
+  const std::optional<requests::AnswerId> parsed = requests::ParseAnswerId(answer_id);
   const auto offset = ParseNumber<std::uint64_t>(text.substr(slash + 1));
-  if (!offset) {
+  if (!parsed || !offset) {
     return std::nullopt;
   }
-  return ResumePoint{EndpointName(std::string(text.substr(0, mark))),
-                     std::string(text.substr(mark + 1, slash - mark - 1)), *offset};
+  return ResumePoint{parsed->endpoint, std::string(answer_id), *offset};
 }
 
 std::string PlacementHint(const EndpointName& endpoint, Incarnation incarnation) {
--- a/src/router/validated_request.h
+++ b/src/router/validated_request.h
@@ -19,7 +19,7 @@
 /// \brief Where a caller wants a streamed answer to go on.
 struct ResumePoint {
   EndpointName endpoint;
-  /// The agent's name for the answer.
+  /// As the agent gave it; it names the endpoint.
   std::string answer_id;
   std::uint64_t offset = 0;
 };
@@ -34,9 +34,6 @@
   std::optional<ResumePoint> resume;
 };
 
-/// \brief Answer id as callers see it: endpoint, `~`, and the agent's name for the answer.
-[[nodiscard]] std::string CallerAnswerId(const EndpointName& endpoint, std::string_view answer_id);
-
 /// \brief Parses `<answer id>/<offset>`; empty if malformed.
 [[nodiscard]] std::optional<ResumePoint> ParseLastEventId(std::string_view text);
 
--- a/tests/stand_ins/service_stand_in.cc
+++ b/tests/stand_ins/service_stand_in.cc
@@ -27,6 +27,14 @@
          (request.path == "/pickups" || request.path == "/bookings" || request.path == "/deposits");
 }
 
+json HeadersOf(const http::Request& request) {
+  json headers = json::object();
+  for (const http::Header& header : request.headers) {
+    headers[header.name] = header.value;
+  }
+  return headers;
+}
+
 bool TakeOne(int& count) {
   if (count <= 0) {
     return false;
@@ -102,6 +110,8 @@
   return Answer(200, {{"service", m_name},
                       {"confirmation", absl::StrCat(m_name, "-", execution.number)},
                       {"path", execution.path},
+                      {"query", request.query},
+                      {"headers", HeadersOf(request)},
                       {"key", execution.key},
                       {"body_hash", execution.body_hash}});
 }
--- a/tests/support/fake_agent_service.cc
+++ b/tests/support/fake_agent_service.cc
@@ -162,7 +162,7 @@
       Refuse(plan, admission.initRefused());
       return kj::READY_NOW;
     }
-    admission.setAdmitted("answer-1");
+    admission.setAdmitted(FakeAgentService::kAnswerId);
     context.getResults().setHandle(kj::heap<Handle<State>>(m_state));
     auto answer = std::make_shared<Answer<State>>();
     answer->state = m_state;
@@ -177,7 +177,8 @@
   kj::Promise<void> resume(ResumeContext context) override {
     const AgentPlan plan = m_state->NextPlan();
     const auto params = context.getParams();
-    const bool found = params.getAnswerId() == "answer-1" && params.getOrganisation() == "acme";
+    const bool found =
+        params.getAnswerId() == FakeAgentService::kAnswerId && params.getOrganisation() == "acme";
     context.getResults().setFound(found);
     if (!found) {
       return kj::READY_NOW;
--- a/tests/support/fake_agent_service.h
+++ b/tests/support/fake_agent_service.h
@@ -62,6 +62,8 @@
   void WaitForAttempts(std::size_t count) const;
 
   static constexpr std::uint64_t kIncarnation = 77;
+  /// The id of each answer, whichever endpoint the agent stands for.
+  static constexpr const char* kAnswerId = "engine0~4d~000102030405060708090a0b0c0d0e0f";
 
  private:
   struct State;
--- a/tests/unit/router_front_end_test.cc
+++ b/tests/unit/router_front_end_test.cc
@@ -17,6 +17,7 @@
 using wagtailwind::testing::RawConnection;
 using wagtailwind::testing::RouterFixture;
 
+constexpr const char* kAnswerId = wagtailwind::testing::FakeAgentService::kAnswerId;
 constexpr const char* kChatHead = "POST /v1/chat/completions HTTP/1.1\r\n";
 constexpr const char* kBookHead =
     "POST /services/bookings/book HTTP/1.1\r\nWagtailwind-Request-Key: ";
@@ -69,9 +70,13 @@
   const std::string answer = router.Send(kChatHead, RouterFixture::kStreamBody);
   cr_assert(answer.starts_with("HTTP/1.1 200"), "%s", answer.c_str());
   cr_assert(answer.ends_with("\r\n\r\n{\"text\":\"hello\"}"), "%s", answer.c_str());
-  for (const char* header : {"Wagtailwind-Outcome: result", "Wagtailwind-Answer: engine0~answer-1",
-                             "Wagtailwind-Served-By: engine0", "Wagtailwind-Cached-Tokens: 5",
-                             "Wagtailwind-Placement-Hint: engine0/77", "Content-Length: 16"}) {
+  const std::vector<std::string> headers = {"Wagtailwind-Outcome: result",
+                                            std::string("Wagtailwind-Answer: ") + kAnswerId,
+                                            "Wagtailwind-Served-By: engine0",
+                                            "Wagtailwind-Cached-Tokens: 5",
+                                            "Content-Length: 16",
+                                            "Wagtailwind-Placement-Hint: engine0/77"};
+  for (const std::string& header : headers) {
     cr_assert(Has(answer, header), "%s", answer.c_str());
   }
 }
@@ -81,14 +86,17 @@
   RouterFixture router(1);
   router.Agent(0).SetPlans({Stream()});
   const std::string answer = router.Send(kChatHead, RouterFixture::kStreamBody);
-  cr_assert(Has(answer, "data: a\nid: engine0~answer-1/9\n\n"), "%s", answer.c_str());
-  cr_assert(Has(answer, "data: [DONE]\nid: engine0~answer-1/32\n\n"), "%s", answer.c_str());
+  cr_assert(Has(answer, std::string("data: a\nid: ") + kAnswerId + "/9\n\n"), "%s", answer.c_str());
+  cr_assert(Has(answer, std::string("data: [DONE]\nid: ") + kAnswerId + "/32\n\n"), "%s",
+            answer.c_str());
   const std::string resumed =
-      router.Send(std::string(kChatHead) + "Last-Event-ID: engine0~answer-1/9\r\n", "");
+      router.Send(std::string(kChatHead) + "Last-Event-ID: " + kAnswerId + "/9\r\n", "");
   cr_assert_not(Has(resumed, "data: a"));
-  cr_assert(Has(resumed, "data: b\nid: engine0~answer-1/18\n\n"), "%s", resumed.c_str());
+  cr_assert(Has(resumed, std::string("data: b\nid: ") + kAnswerId + "/18\n\n"), "%s",
+            resumed.c_str());
   cr_assert(Has(resumed, "data: [DONE]"));
-  for (const char* unknown : {"engine0~other/9", "engine9~answer-1/9"}) {
+  for (const char* unknown : {"engine0~4d~ff0102030405060708090a0b0c0d0e0f/9",
+                              "engine9~4d~000102030405060708090a0b0c0d0e0f/9"}) {
     const std::string missing =
         router.Send(std::string(kChatHead) + "Last-Event-ID: " + unknown + "\r\n", "");
     cr_assert(missing.starts_with("HTTP/1.1 404"), "%s", missing.c_str());
--- a/tests/unit/router_validation_test.cc
+++ b/tests/unit/router_validation_test.cc
@@ -23,6 +23,7 @@
 using wagtailwind::router::ValidatedRequest;
 using wagtailwind::testing::TestConfiguration;
 
+constexpr const char* kAnswerId = "e~4d~000102030405060708090a0b0c0d0e0f";
 constexpr WallTime kNow{std::chrono::milliseconds(0x0199'0000'0000)};
 constexpr const char* kKey = "01990000-0000-7abc-8def-0123456789ab";
 
@@ -100,7 +101,9 @@
     cr_assert_eq(RefusalWith("Wagtailwind-Deadline-Ms", deadline), malformed);
   }
   for (const char* id :
-       {"x", "/", "~/1", "e~/1", "e~a/", "e~a/-1", "e~a/1x", "e~a/99999999999999999999"}) {
+       {"x", "/", "~/1", "e~/1", "e~a/", "e~a/-1", "e~a/1x", "e~a/99999999999999999999", "e~a/9",
+        "e~4d~0001/9", "e~xy~000102030405060708090a0b0c0d0e0f/9",
+        "~4d~000102030405060708090a0b0c0d0e0f/9", "e~4d~000102030405060708090a0b0c0d0e0f/x"}) {
     cr_assert_eq(RefusalWith("Last-Event-ID", id), malformed, "%s", id);
   }
   cr_assert_eq(RefusalWith("Wagtailwind-Placement-Hint", "///x\x01"), FailureReason::kNone);
@@ -143,11 +146,11 @@
 // give the same events, and a resume at any id must give exactly the rest.
 Test(event_stream_ids, give_the_same_events_for_every_cut_and_every_resume) {
   const std::string answer = "data: a\n\ndata: b\r\n\r\n: note\ndata: c\n\ndata: [DONE]\n\n";
-  EventStreamIds at_once("e~1", 0);
+  EventStreamIds at_once(kAnswerId, 0);
   const std::string expected = at_once.Push(answer);
-  cr_assert_eq(expected.find("data: a\nid: e~1/9\n\n"), 0U);
+  cr_assert_eq(expected.find(std::string("data: a\nid: ") + kAnswerId + "/9\n\n"), 0U);
   for (std::size_t cut = 0; cut <= answer.size(); ++cut) {
-    EventStreamIds in_two("e~1", 0);
+    EventStreamIds in_two(kAnswerId, 0);
     std::string events = in_two.Push(answer.substr(0, cut));
     events += in_two.Push(answer.substr(cut));
     cr_assert_eq(events, expected);
@@ -157,7 +160,7 @@
     const std::size_t end = expected.find('\n', id);
     const auto point = ParseLastEventId(expected.substr(id + 4, end - id - 4));
     cr_assert(point.has_value());
-    EventStreamIds resumed("e~1", point->offset);
+    EventStreamIds resumed(kAnswerId, point->offset);
     const std::string rest = resumed.Push(answer.substr(point->offset));
     cr_assert(expected.ends_with(rest));
     cr_assert_eq(expected.find(rest, end) == std::string::npos, false);
@@ -166,7 +169,7 @@
 
 // Guards against memory that grows with an event that never ends.
 Test(event_stream_ids, are_bounded) {
-  EventStreamIds ids("e~1", 0);
+  EventStreamIds ids(kAnswerId, 0);
   std::size_t out = 0;
   for (int i = 0; i < 64; ++i) {
     out += ids.Push(std::string(16U << 10U, 'x')).size();
