Give each program of a test its own process group

The agent was paused by SIGSTOP when the shell that had started the run ended. The process group then was orphaned with a stopped member, for which the kernel sends SIGHUP.

Ruled out: a fault of the daemon; its log ends without an error, and nothing in the fleet sends SIGHUP.

Conclusion: programs that a test starts are in groups of their own, which are not orphaned while the test lives. PR_SET_PDEATHSIG still ends them with the test.

--- a/tests/support/child_process.cc
+++ b/tests/support/child_process.cc
@@ -32,6 +32,9 @@
   if (m_id == 0) {
     // A test that crashes must not leave programs behind.
     prctl(PR_SET_PDEATHSIG, SIGKILL);
+    // In the test's own process group, a paused program would get SIGHUP from the kernel when the
+    // shell that started the test ends and leaves the group orphaned.
+    setpgid(0, 0);
     if (getppid() != parent) {
       _exit(127);
     }
