--- a/tests/histories/requests_run.cc
+++ b/tests/histories/requests_run.cc
@@ -67,20 +67,30 @@
   return addresses;
 }
 
+/// Lets the callers end, also if the run fails.
+struct StopAtExit {
+  explicit StopAtExit(CallerContext& run) : context(run) {}
+  ~StopAtExit() {
+    context.stopping = true;
+    context.healed = true;
+  }
+  StopAtExit(const StopAtExit&) = delete;
+  StopAtExit& operator=(const StopAtExit&) = delete;
+
+  CallerContext& context;
+};
+
 void RunCallers(CallerContext& context, std::uint64_t seed, FaultInjector& faults,
                 const std::vector<Fault>& plan) {
-  std::vector<std::thread> threads;
+  std::vector<std::jthread> threads;
   threads.reserve(kCallers);
+  // Before the threads are joined.
+  const StopAtExit stop(context);
   for (std::uint64_t i = 0; i < kCallers; ++i) {
     threads.emplace_back([&context, seed, i] { Caller(context, i + 1, seed).Run(); });
   }
   faults.Run(plan);
   faults.Heal();
-  context.stopping = true;
-  context.healed = true;
-  for (std::thread& thread : threads) {
-    thread.join();
-  }
 }
 
 History Execute(const RunOptions& options, Verdict& verdict) {
