Close the gate while a plain service can't be reached

Cause: the gate of a service's agent stayed open when the service was down, so each call was placed there, failed to connect and cost a retry. A call that can't be written as HTTP does not count, since a caller could close the gate with it. Ruled out: a periodic probe, because plain services have no status call.

--- a/src/agent/execution_flow.cc
+++ b/src/agent/execution_flow.cc
@@ -321,6 +321,7 @@
   }
   m_core->answers.RemoveExpired();
   m_core->results.RemoveExpired();
+  m_core->service_health.Tick();
   m_core->parts.metrics.GetGauge("agent_running").Set(static_cast<double>(Running()));
   m_core->parts.metrics.GetGauge("agent_answer_bytes")
       .Set(static_cast<double>(m_core->answers.TotalBytes()));
--- a/src/agent/flow_core.cc
+++ b/src/agent/flow_core.cc
@@ -24,7 +24,8 @@
       answers(settings.answers, parts.clock),
       results(settings.results, parts.clock),
       attempts(settings.remembered_attempts),
-      prefixes(kRememberedPrefixes) {}
+      prefixes(kRememberedPrefixes),
+      service_health(parts.gate, parts.clock) {}
 
 std::uint64_t FlowCore::Add(std::shared_ptr<Execution> execution, std::uint64_t reservation) {
   const absl::MutexLock lock(&m_mutex);
--- a/src/agent/flow_core.h
+++ b/src/agent/flow_core.h
@@ -16,6 +16,7 @@
 #include "agent/attempt_table.h"
 #include "agent/prefix_estimates.h"
 #include "agent/result_table.h"
+#include "agent/service_health.h"
 #include "core/clock.h"
 #include "core/metrics.h"
 #include "core/random_source.h"
@@ -78,6 +79,7 @@
   ResultTable results;
   AttemptTable attempts;
   PrefixEstimates prefixes;
+  ServiceHealth service_health;
 
  private:
   struct Entry {
--- a/src/agent/service_execution.cc
+++ b/src/agent/service_execution.cc
@@ -144,6 +144,11 @@
 }
 
 AnswerEnd ServiceExecution::Store(endpoint::ServiceAnswer answer) {
+  if (answer.end != TransferEnd::kNotSent) {
+    m_core->service_health.OnReached();
+  } else if (answer.is_sendable) {
+    m_core->service_health.OnNotReached();
+  }
   switch (answer.end) {
     case TransferEnd::kComplete:
       m_answer->SetHead({answer.status, std::move(answer.headers), 0});
--- a/src/endpoint/http_plain_service.cc
+++ b/src/endpoint/http_plain_service.cc
@@ -95,7 +95,9 @@
 void HttpPlainService::Send(ServiceCall call, std::function<void(ServiceAnswer)> done) {
   if (!IsSendable(call)) {
     Log(kCallNotSendable, {{"address", m_address}});
-    done(ServiceAnswer{});
+    ServiceAnswer refused;
+    refused.is_sendable = false;
+    done(std::move(refused));
     return;
   }
   TransferRequest request;
--- a/src/endpoint/plain_service.h
+++ b/src/endpoint/plain_service.h
@@ -29,6 +29,8 @@
   int status = 0;
   std::vector<http::Header> headers;
   std::string body;
+  /// False: the call can't be written as HTTP, which says nothing about the service.
+  bool is_sendable = true;
 };
 
 /// \brief A plain service beside the engines.
--- a/tests/unit/agent_execution_flow_test.cc
+++ b/tests/unit/agent_execution_flow_test.cc
@@ -1,5 +1,6 @@
 #include <criterion/criterion.h>
 
+#include <chrono>
 #include <string>
 
 #include "support/fake_agent.h"
@@ -151,6 +152,39 @@
   cr_assert_eq(agent.claims.abandoned, 1);
 }
 
+// Guards against a gate that stays open for a service that can't be reached, one that stays closed
+// after the service is back, and one that a caller can close by a call that can't be written.
+Test(execution_flow, an_unreachable_service_closes_the_gate_until_a_probe_gets_through) {
+  FakeAgent agent;
+  agent.service.answer = {TransferEnd::kNotSent, 0, {}, "", false};
+  for (int i = 0; i < 5; ++i) {
+    agent.Execute(agent.PickupCall());
+  }
+  cr_assert(agent.gate.Healthy());
+  agent.service.answer = {TransferEnd::kNotSent, 0, {}, "", true};
+  agent.Execute(agent.PickupCall());
+  agent.Execute(agent.PickupCall());
+  cr_assert(agent.gate.Healthy());
+  agent.Execute(agent.PickupCall());
+  cr_assert_not(agent.gate.Healthy());
+  agent.flow->Tick();
+  cr_assert_not(agent.gate.Healthy(), "a probe before its time");
+
+  agent.clock.Advance(std::chrono::seconds(2));
+  agent.flow->Tick();
+  cr_assert(agent.gate.Healthy());
+  agent.Execute(agent.PickupCall());
+  cr_assert_not(agent.gate.Healthy(), "a failed probe leaves the gate open");
+
+  agent.clock.Advance(std::chrono::seconds(2));
+  agent.flow->Tick();
+  agent.service.answer = {TransferEnd::kComplete, 200, {}, "confirmed"};
+  agent.Execute(agent.PickupCall());
+  agent.service.answer = {TransferEnd::kNotSent, 0, {}, ""};
+  agent.Execute(agent.PickupCall());
+  cr_assert(agent.gate.Healthy(), "the count of failures goes on after a success");
+}
+
 // Guards against two generations that are joined: a stream continues only where the engine knows
 // it, and no bytes of the refusal reach the answer.
 Test(execution_flow, a_lost_stream_resumes_on_the_same_engine_or_ends) {
