Probe a failing zone first, and send fewer changes when the byte budget is low

Cause: each process probes a random member a second, so the last of 37 is first probed after 4 s to 5 s, and 3.7 s of suspicion and the spreading follow.

--- a/src/gossip/gossip_node.h
+++ b/src/gossip/gossip_node.h
@@ -165,7 +165,7 @@
   [[nodiscard]] std::optional<Peer> PushTarget(double own_zone_share);
   [[nodiscard]] std::chrono::milliseconds TransitBound(const Peer& peer, SteadyTime now) const;
   [[nodiscard]] Datagram Prepare(DatagramKind kind) const;
-  void Fill(Datagram& datagram, const Peer& peer, std::size_t max_loads);
+  void Fill(Datagram& datagram, const Peer& peer, std::size_t max_loads, SteadyTime now);
   void FillChanges(Datagram& datagram, std::size_t& room);
   void AddOwnRecord(Datagram& datagram) const;
   void Send(Datagram& datagram, std::string_view address, SteadyTime now);
--- a/src/gossip/gossip_node_probe.cc
+++ b/src/gossip/gossip_node_probe.cc
@@ -11,9 +11,38 @@
 constexpr std::size_t kLoadsPerProbe = 4;
 constexpr std::chrono::seconds kNoticePeriod{1};
 
+// With this many suspects in one zone, a rack, switch or zone is taken to have failed, and every
+// second probe goes there. Otherwise the last of 37 members is probed by anyone only after 5 s.
+constexpr std::size_t kSuspectsOfFailingZone = 3;
+constexpr double kFailingZoneShare = 0.5;
+
 }  // namespace
 
+std::optional<Peer> GossipNode::TargetInFailingZone() {
+  if (m_suspicions.size() < kSuspectsOfFailingZone || m_random.Fraction() >= kFailingZoneShare) {
+    return std::nullopt;
+  }
+  const MemberSnapshot members = m_members.Members();
+  absl::flat_hash_map<AvailabilityZoneName, std::size_t> suspects;
+  for (const Member& member : *members) {
+    suspects[member.zone] += member.state == MemberState::kSuspect ? 1 : 0;
+  }
+  std::vector<const Member*> targets;
+  for (const Member& member : *members) {
+    if (member.state == MemberState::kAlive && member.instance != m_self &&
+        suspects[member.zone] >= kSuspectsOfFailingZone) {
+      targets.push_back(&member);
+    }
+  }
+  return targets.empty() ? std::nullopt
+                         : m_members.FindPeer(targets[m_random.Below(targets.size())]->instance);
+}
+
 std::optional<Peer> GossipNode::NextProbeTarget() {
+  const std::optional<Peer> suspected = TargetInFailingZone();
+  if (suspected.has_value()) {
+    return suspected;
+  }
   // A shuffled list that is walked to its end bounds the time until each member is probed.
   if (m_targets.empty()) {
     m_targets = m_members.LivePeerNames();
@@ -58,7 +87,7 @@
     probe.statuses.push_back(
         {MemberKey(target->instance, target->incarnation), target->state, target->state_number});
   }
-  Fill(probe, *target, kLoadsPerProbe);
+  Fill(probe, *target, kLoadsPerProbe, now);
   Send(probe, target->gossip_address, now);
 }
 
@@ -153,7 +182,7 @@
       reply.statuses.push_back(
           {MemberKey(peer->instance, peer->incarnation), peer->state, peer->state_number});
     }
-    Fill(reply, *peer, kLoadsPerProbe);
+    Fill(reply, *peer, kLoadsPerProbe, now);
   }
   Send(reply, address, now);
 }
--- a/src/gossip/gossip_node_send.cc
+++ b/src/gossip/gossip_node_send.cc
@@ -35,6 +35,12 @@
 // until half of 1,840 processes know.
 constexpr std::size_t kDeathFanOut = 3;
 constexpr std::chrono::milliseconds kDeathPushPeriod{300};
+// The loss of a zone or region must leave most of the burst for what follows: with the whole burst
+// spent, probes were held back after a cut, and the members did not agree within 300 s.
+constexpr double kDeathPushBudget = 48 * 1024;
+
+// Changes in a datagram below the low budget, so that 5 datagrams/s stay below 1,500 bytes/s.
+constexpr std::size_t kLowBudgetRoom = 160;
 
 std::size_t RecordBytes(const Member& member) noexcept {
   std::size_t bytes = kRecordBytes + member.instance.value().size() + member.zone.value().size() +
@@ -102,12 +108,12 @@
 void GossipNode::PushTo(const Peer& peer, SteadyTime now) {
   Datagram push = Prepare(DatagramKind::kPush);
   const bool low = m_budget.Level(now) < kLowBudget;
-  Fill(push, peer, low ? m_settings.loads_per_push / 4 : m_settings.loads_per_push);
+  Fill(push, peer, low ? m_settings.loads_per_push / 4 : m_settings.loads_per_push, now);
   Send(push, peer.gossip_address, now);
 }
 
 void GossipNode::PushDeaths(SteadyTime now) {
-  if (!m_has_new_deaths || now < m_next_death_push || m_budget.Level(now) < kLowBudget) {
+  if (!m_has_new_deaths || now < m_next_death_push || m_budget.Level(now) < kDeathPushBudget) {
     return;
   }
   m_has_new_deaths = false;
@@ -162,9 +168,12 @@
   });
 }
 
-void GossipNode::Fill(Datagram& datagram, const Peer& peer, std::size_t max_loads) {
+void GossipNode::Fill(Datagram& datagram, const Peer& peer, std::size_t max_loads, SteadyTime now) {
   std::size_t room = kMaxDatagramBytes - kBaseBytes;
-  FillChanges(datagram, room);
+  std::size_t changes_room = m_budget.Level(now) < kLowBudget ? kLowBudgetRoom : room;
+  const std::size_t before = changes_room;
+  FillChanges(datagram, changes_room);
+  room -= before - changes_room;
   if (peer.own_zone) {
     datagram.loads = m_loads.NextLoads(std::min(max_loads, room / kLoadBytes));
     room -= datagram.loads.size() * kLoadBytes;
