--- a/src/gossip/gossip_node_probe.cc
+++ b/src/gossip/gossip_node_probe.cc
@@ -39,7 +39,7 @@
 }
 
 std::optional<Peer> GossipNode::NextProbeTarget() {
-  const std::optional<Peer> suspected = TargetInFailingZone();
+  std::optional<Peer> suspected = TargetInFailingZone();
   if (suspected.has_value()) {
     return suspected;
   }
