--- a/tools/claims_main.cc
+++ b/tools/claims_main.cc
@@ -39,15 +39,16 @@
 constexpr std::size_t kPlatformThreads = 4;
 constexpr std::size_t kMaxQueuedCommits = 64;
 
-const wagtailwind::ServiceName kService("returns-api");
-const wagtailwind::OrganisationName kOrganisation("kandy-lanka");
+constexpr const char* kService = "returns-api";
+constexpr const char* kOrganisation = "kandy-lanka";
 
 // What an agent has for its claims, in one process.
 struct Agent {
   explicit Agent(const std::string& address)
       : key_values(address, metrics),
         workers(kPlatformThreads, kMaxQueuedCommits),
-        log(wagtailwind::requests::MakeClaimLog(kService, key_values, workers, clock, metrics)) {}
+        log(wagtailwind::requests::MakeClaimLog(wagtailwind::ServiceName(kService), key_values,
+                                                workers, clock, metrics)) {}
 
   wagtailwind::SystemClock clock;
   wagtailwind::MetricsRegistry metrics;
@@ -136,6 +137,7 @@
   for (std::size_t i = 0; i < agent_count; ++i) {
     agents.push_back(std::make_unique<Agent>(stand_in.Address()));
   }
+  const wagtailwind::OrganisationName organisation(kOrganisation);
   wagtailwind::SeededRandomSource random(1);
   Results results;
   const double cpu = CpuSeconds();
@@ -145,11 +147,11 @@
     std::this_thread::sleep_until(start + std::chrono::nanoseconds(1'000'000'000LL * i / rate));
     const std::string text = NewKey(random);
     const std::size_t owner =
-        wagtailwind::requests::ClaimPartition(kOrganisation, text) % agent_count;
+        wagtailwind::requests::ClaimPartition(organisation, text) % agent_count;
     const auto begun = SteadyClock::now();
     results.Begin();
     agents[owner]->log->Claim(
-        kOrganisation, *wagtailwind::requests::ParseRequestKey(text), random.NewRequestId(),
+        organisation, *wagtailwind::requests::ParseRequestKey(text), random.NewRequestId(),
         [&results, begun](ClaimResult result) { results.End(result, SteadyClock::now() - begun); });
   }
   Json row{{"agents", agent_count}, {"keys_per_s", rate}, {"seconds", duration.count()}};
