--- a/src/daemon/engine_orders.h
+++ b/src/daemon/engine_orders.h
@@ -4,6 +4,9 @@
 #include <chrono>
 #include <memory>
 #include <optional>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include "agent/endpoint_orders.h"
 #include "core/periodic_thread.h"
@@ -28,6 +31,8 @@
   agent::EndpointOrders m_orders;
   records::ConfigurationVersion m_applied_version = 0;
   std::chrono::steady_clock::time_point m_applied_at;
+  /// Empty if the last application failed or there was none.
+  std::optional<std::vector<std::pair<ModelName, std::string>>> m_applied_targets;
   // Last, so that the thread ends before what it uses.
   PeriodicThread m_thread;
 };
