--- a/src/gossip/instance_list_joiner.cc
+++ b/src/gossip/instance_list_joiner.cc
@@ -38,7 +38,7 @@
     m_period = std::clamp(kPeriodPerInstance * static_cast<milliseconds::rep>(instances.size()),
                           kShortestPeriod, kLongestPeriod);
     // Leaving is taken from two readings that agree, so the second one follows soon.
-    std::set<InstanceName> leaving;
+    absl::flat_hash_set<InstanceName> leaving;
     for (const platform::ListedInstance& instance : instances) {
       if (instance.leaving) {
         leaving.insert(instance.name);
--- a/src/gossip/instance_list_joiner.h
+++ b/src/gossip/instance_list_joiner.h
@@ -3,9 +3,9 @@
 
 #include <chrono>
 #include <optional>
-#include <set>
 #include <thread>
 
+#include "absl/container/flat_hash_set.h"
 #include "absl/synchronization/notification.h"
 #include "core/random_source.h"
 #include "gossip/gossip_node.h"
@@ -35,7 +35,7 @@
   RandomSource& m_random;
   /// Empty until the first list is read.
   std::optional<std::chrono::milliseconds> m_period;
-  std::set<InstanceName> m_leaving;
+  absl::flat_hash_set<InstanceName> m_leaving;
   absl::Notification m_stop;
   std::thread m_thread;
 };
--- a/src/records/initial_load.cc
+++ b/src/records/initial_load.cc
@@ -36,7 +36,7 @@
   if (!has_platform && (!peers_answered || now - m_started < kPeerPeriod)) {
     return {};
   }
-  const Decision best = BestPeer();
+  Decision best = BestPeer();
   if (has_platform && *m_platform_version >= best.version) {
     return {Source::kPlatform, *m_platform_version, {}};
   }
--- a/tests/histories/control_scenarios.cc
+++ b/tests/histories/control_scenarios.cc
@@ -27,7 +27,7 @@
 // A change of a scenario is repeated until it is accepted.
 ChangeReport Accepted(ControlFleet& fleet, const ChangeReport& draft) {
   for (int attempt = 0; attempt < 10; ++attempt) {
-    const ChangeReport report = fleet.tool.Change(draft);
+    ChangeReport report = fleet.tool.Change(draft);
     if (report.outcome == records::ChangeOutcome::kAccepted) {
       return report;
     }
