--- a/tests/e2e/path_test.cc
+++ b/tests/e2e/path_test.cc
@@ -265,7 +265,7 @@
       ReadEvents(DecodeChunks(ReadFirstEvents(reader, Streamed("Four", kTokens))));
   cr_assert(!part.tokens.empty() && !part.last_id.empty());
   const std::string refused =
-      SendRaw(fleet->routers[1], ResumeHead("colombo-couriers", part.last_id));
+      SendRaw(fleet->routers[1], ResumeHead("colombo-general-hospital-kitchen", part.last_id));
   cr_expect(refused.starts_with("HTTP/1.1 404"), "%s", refused.c_str());
   cr_expect(!Has(refused, "delta"), "%s", refused.c_str());
   // The reader is still connected: a router that is cut off from its caller does not notice.
--- a/tests/histories/control_operators.cc
+++ b/tests/histories/control_operators.cc
@@ -53,7 +53,9 @@
   } else if (draft.action == Action::kEdit) {
     arguments.insert(arguments.end(), {"edit", kind, name});
     for (const auto& [field, value] : draft.fields) {
-      arguments.insert(arguments.end(), {"--set", field + "=" + value});
+      std::string assignment = field;
+      assignment.append("=").append(value);
+      arguments.insert(arguments.end(), {"--set", std::move(assignment)});
     }
   } else {
     Json record{{"kind", kind}, {"name", name}, {"body", Json::object()}};
--- a/tests/histories/requests_run.cc
+++ b/tests/histories/requests_run.cc
@@ -103,7 +103,7 @@
   update();
   Recorder<Call> calls;
   CallerContext context{fleet.Options().deployment,
-                        {"kandy-lanka", "colombo-couriers", "negombo-parcels"},
+                        {"kandy-lanka", "colombo-general-hospital-kitchen", "negombo-school-meals"},
                         board,
                         calls};
   History history;
--- a/tests/unit/histories_requests_test.cc
+++ b/tests/unit/histories_requests_test.cc
@@ -118,7 +118,7 @@
 Test(histories_requests, accepts_one_key_of_two_organisations) {
   History history = SoundHistory();
   Call other = MakeCall(CallKind::kOnceOnly);
-  other.organisation = "negombo-parcels";
+  other.organisation = "negombo-school-meals";
   other.body_hash = "00000000000000bb";
   other.attempts.push_back(MakeAttempt(Answer::kLost, 100));
   history.calls.push_back(other);
--- a/tests/unit/requests_claim_log_test.cc
+++ b/tests/unit/requests_claim_log_test.cc
@@ -143,6 +143,7 @@
   constexpr int kKeys = 3000;
   for (int key = 0; key < kKeys; key += 50) {
     std::vector<PendingClaim> batch;
+    batch.reserve(50);
     for (int i = 0; i < 50; ++i) {
       batch.push_back(agents.NewClaim(key + i));
     }
@@ -165,6 +166,7 @@
   cr_assert(agents.Claim(agents.first, 1) == ClaimResult::kClaimed);
   const auto fill = [&agents](int from) {
     std::vector<PendingClaim> batch;
+    batch.reserve(64);
     for (int i = 0; i < 64; ++i) {
       batch.push_back(agents.NewClaim(from + i));
     }
@@ -242,7 +244,7 @@
     cr_assert(promise.get_future().get() == ClaimResult::kClaimed);
   }
   // 16 partitions hold 63 keys each: two commits at most for each, and one segment.
-  cr_assert_leq(key_values.Swaps(), 4 * wagtailwind::requests::kClaimPartitions);
+  cr_assert_leq(key_values.Swaps(), std::uint64_t{4} * wagtailwind::requests::kClaimPartitions);
 }
 
 Test(request_key, only_lower_case_uuids_of_version_7_inside_the_window_are_accepted) {
--- a/tools/propagation_main.cc
+++ b/tools/propagation_main.cc
@@ -88,8 +88,8 @@
     return 0;
   }
   std::ranges::sort(values);
-  const auto index = static_cast<std::size_t>(share * static_cast<double>(values.size() - 1) + 0.5);
-  return values[index];
+  const long index = std::lround(share * static_cast<double>(values.size() - 1));
+  return values[static_cast<std::size_t>(index)];
 }
 
 double Mean(const std::vector<double>& values) {
@@ -328,7 +328,9 @@
                Json& slopes) {
   if (value.is_object()) {
     for (const auto& [key, child] : value.items()) {
-      AddSlopes(rows, child, path + "/" + key, slopes);
+      std::string child_path = path;
+      child_path.append("/").append(key);
+      AddSlopes(rows, child, child_path, slopes);
     }
     return;
   }
