--- a/src/agent/agent_call.h
+++ b/src/agent/agent_call.h
@@ -15,6 +15,7 @@
 #include "core/ids.h"
 #include "http/message.h"
 #include "requests/outcome.h"
+#include "rpc/attempt.h"
 
 namespace wagtailwind::agent {
 
@@ -36,27 +37,8 @@
   }
 };
 
-/// \brief A call of a model engine.
-struct ChatCall {
-  ModelName model;
-  /// Empty: not a returning chat.
-  ChatId chat;
-  std::string body;
-  bool stream = false;
-  std::uint32_t prompt_tokens = 0;
-  std::uint32_t max_output_tokens = 0;
-  bool last_resort = false;
-};
-
-/// \brief A call of a plain service.
-struct PlainCall {
-  ServiceName service;
-  std::string method;
-  std::string path;
-  std::vector<http::Header> headers;
-  std::string body;
-  bool repeatable = false;
-};
+using ChatCall = rpc::ChatCall;
+using PlainCall = rpc::ServiceCall;
 
 /// \brief One attempt as a router sends it.
 struct AgentCall {
