Use the placement module's prefix directory in the agent

agent::PrefixEstimates and placement::PrefixDirectory kept the same table: the tokens of a chat's last request, least recently used first. The agent now uses the one that scripts/placement drives, with the same bound on chats and no bound on tokens, so behaviour stays as it was.

--- a/src/agent/chat_execution.cc
+++ b/src/agent/chat_execution.cc
@@ -243,7 +243,7 @@
     return Lost(FailureReason::kEngineLost);
   }
   if (status == kOk && !Chat().chat.empty()) {
-    m_core->prefixes.Set(m_call.organisation, Chat().chat, Chat().prompt_tokens);
+    m_core->prefixes->Store(m_call.organisation, Chat().chat, Chat().prompt_tokens);
   }
   return kWholeAnswer;
 }
--- a/src/agent/execution_flow.cc
+++ b/src/agent/execution_flow.cc
@@ -210,7 +210,7 @@
     request.max_output_tokens = chat->max_output_tokens;
     request.last_resort = chat->last_resort;
     request.cached_tokens =
-        std::min(chat->prompt_tokens, m_core->prefixes.Find(call.organisation, chat->chat));
+        std::min(chat->prompt_tokens, m_core->prefixes->Find(call.organisation, chat->chat));
   }
   return m_core->parts.gate.Admit(request);
 }
@@ -344,7 +344,7 @@
   }
 }
 
-void ExecutionFlow::OnEngineRestarted() { m_core->prefixes.Clear(); }
+void ExecutionFlow::OnEngineRestarted() { m_core->prefixes->Reset(); }
 
 std::size_t ExecutionFlow::Running() const { return m_core->RunningCount(); }
 
--- a/src/agent/flow_core.cc
+++ b/src/agent/flow_core.cc
@@ -1,5 +1,6 @@
 #include "agent/flow_core.h"
 
+#include <limits>
 #include <string>
 #include <utility>
 
@@ -24,7 +25,8 @@
       answers(settings.answers, parts.clock),
       results(settings.results, parts.clock),
       attempts(settings.remembered_attempts),
-      prefixes(kRememberedPrefixes),
+      prefixes(placement::MakePrefixDirectory(kRememberedPrefixes,
+                                              std::numeric_limits<std::uint64_t>::max())),
       service_health(parts.gate, parts.clock) {}
 
 std::uint64_t FlowCore::Add(std::shared_ptr<Execution> execution, std::uint64_t reservation) {
--- a/src/agent/flow_core.h
+++ b/src/agent/flow_core.h
@@ -14,7 +14,6 @@
 #include "agent/agent_call.h"
 #include "agent/answer_store.h"
 #include "agent/attempt_table.h"
-#include "agent/prefix_estimates.h"
 #include "agent/result_table.h"
 #include "agent/service_health.h"
 #include "core/clock.h"
@@ -25,6 +24,7 @@
 #include "gossip/member.h"
 #include "placement/admission_gate.h"
 #include "placement/home_pointers.h"
+#include "placement/prefix_directory.h"
 #include "records/configuration_view.h"
 #include "requests/claim_log.h"
 
@@ -78,7 +78,7 @@
   AnswerStore answers;
   ResultTable results;
   AttemptTable attempts;
-  PrefixEstimates prefixes;
+  const std::unique_ptr<placement::PrefixDirectory> prefixes;
   ServiceHealth service_health;
 
  private:
