--- a/src/net/tcp_stream.cc
+++ b/src/net/tcp_stream.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <utility>
 #include <vector>
 
@@ -26,6 +27,17 @@
   *buffer = uv_buf_init(bytes.data(), bytes.size());
 }
 
+/// The error of a connection that the loop reports as ended in order; 0 if it was in order.
+int PendingError(const uv_tcp_t& tcp) noexcept {
+  uv_os_fd_t descriptor = -1;
+  if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp), &descriptor) < 0) {
+    return UV_EBADF;
+  }
+  char byte = 0;
+  return recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 ? uv_translate_sys_error(errno)
+                                                                 : 0;
+}
+
 sockaddr_storage Resolve(const std::string& address) {
   const http::SocketAddress parsed = http::ParseSocketAddress(address);
   sockaddr_storage storage{};
@@ -132,7 +144,10 @@
                   if (count > 0) {
                     handle->handler->OnData({buffer->base, static_cast<std::size_t>(count)});
                   } else if (count == UV_EOF) {
-                    handle->handler->OnEnd();
+                    // After a partial read, the loop takes a reset for an end of file. A response
+                    // that ends with its connection would look complete.
+                    const int error = PendingError(handle->tcp);
+                    error == 0 ? handle->handler->OnEnd() : handle->Break(error);
                   } else if (count < 0) {
                     handle->Break(static_cast<int>(count));
                   }
