Bound the load by the length of the shared prompt

The bound of 1.5 times the mean plus 1 drove one request in twenty of a long prompt away from its parts. Long shared parts now stay at home up to 1.8 times the mean plus 2.5, short ones even out the load.

--- a/src/forward/endpoint_ranking.cc
+++ b/src/forward/endpoint_ranking.cc
@@ -1,6 +1,7 @@
 #include "forward/endpoint_ranking.h"
 
 #include <algorithm>
+#include <charconv>
 
 #include "core/hash.h"
 
@@ -8,12 +9,22 @@
 
 namespace {
 
-// An endpoint takes prompts that are at home there up to this multiple of the pool's mean load.
-constexpr double kLoadBound = 1.5;
+/// Load up to which an endpoint takes prompts that are at home there: `factor` times the pool's mean
+/// and `slack` requests. At a low mean, single requests would otherwise drive prompts away from
+/// their cached parts.
+struct LoadBound {
+  double factor;
+  double slack;
+};
+
+// The platform tolerates twice the mean and three requests. Routers see the load late, so the wide
+// bound stays below.
+constexpr LoadBound kLongPromptBound{1.8, 2.5};
+constexpr LoadBound kShortPromptBound{1.4, 1.0};
 
-// Requests above the bound that an endpoint may hold: at a low mean, single requests would
-// otherwise drive prompts away from their cached parts.
-constexpr double kLoadSlack = 1.0;
+// Shared tokens from which a prompt counts as long: reading them takes an engine longer than a
+// step of its batch.
+constexpr std::uint64_t kLongPromptTokens = 1'500;
 
 // Requests in flight that crossing zones is worth, in parts of an endpoint's slots: keeps traffic
 // in the zone while the loads are about equal.
@@ -71,7 +82,9 @@
     return {};
   }
   const double mean = total_load / static_cast<double>(count);
-  const double bound = kLoadBound * mean + kLoadSlack;
+  const bool is_long = request.prompt && request.prompt->tokens >= kLongPromptTokens;
+  const LoadBound& limits = is_long ? kLongPromptBound : kShortPromptBound;
+  const double bound = limits.factor * mean + limits.slack;
   std::vector<Scored> scored;
   scored.reserve(count);
   for (const EndpointPtr& endpoint : endpoints) {
@@ -82,11 +95,11 @@
     const bool failing =
         endpoint->health.state() == requests::BreakerState::kOpen || endpoint->full_until > now ||
         endpoint->health.FailureRate(now) > lowest_failure_rate + kExcessFailureRate;
-    const bool overloaded = request.prompt_key && load > bound;
+    const bool overloaded = request.prompt && load > bound;
     const int tier = failing ? 2 : overloaded ? 1 : 0;
     const double cost =
-        request.prompt_key && tier == 0
-            ? -RendezvousScore(*request.prompt_key, endpoint->record.name.value())
+        request.prompt && tier == 0
+            ? -RendezvousScore(request.prompt->key, endpoint->record.name.value())
             : LoadCost(*endpoint, request, load, random);
     scored.push_back({.endpoint = &endpoint, .tier = tier, .cost = cost});
   }
@@ -104,12 +117,25 @@
   return ranked;
 }
 
-std::optional<std::uint64_t> PromptKey(std::string_view parts) noexcept {
+std::optional<SharedPrompt> ParsePrompt(std::string_view parts) noexcept {
   if (parts.empty()) {
     return std::nullopt;
   }
   const std::size_t last = parts.rfind(',');
-  return StableHash(last == std::string_view::npos ? parts : parts.substr(0, last));
+  std::string_view shared = last == std::string_view::npos ? parts : parts.substr(0, last);
+  SharedPrompt prompt{.key = StableHash(shared)};
+  while (!shared.empty()) {
+    const std::size_t end = std::min(shared.find(','), shared.size());
+    const std::string_view part = shared.substr(0, end);
+    shared.remove_prefix(std::min(end + 1, shared.size()));
+    const std::size_t colon = part.find(':');
+    std::uint64_t tokens = 0;
+    if (colon != std::string_view::npos) {
+      std::from_chars(part.data() + colon + 1, part.data() + part.size(), tokens);
+    }
+    prompt.tokens += tokens;
+  }
+  return prompt;
 }
 
 }  // namespace wagtailwind::forward
--- a/src/forward/endpoint_ranking.h
+++ b/src/forward/endpoint_ranking.h
@@ -14,10 +14,17 @@
 
 namespace wagtailwind::forward {
 
+/// \brief The parts of a prompt that a request shares with others.
+struct SharedPrompt {
+  /// Hash of the parts.
+  std::uint64_t key = 0;
+  std::uint64_t tokens = 0;
+};
+
 /// \brief What decides the order of endpoints for a request.
 struct RankingRequest {
-  /// Hash of the prompt's shared parts; empty for requests without a prompt.
-  std::optional<std::uint64_t> prompt_key;
+  /// The prompt's shared parts; empty for requests without a prompt.
+  std::optional<SharedPrompt> prompt;
   /// Empty: any model.
   ModelName model;
   /// Where the router stands.
@@ -31,15 +38,17 @@
 ///
 /// Requests with a prompt go to the first endpoint in rendezvous order of their key whose load is
 /// within a bound of the pool's mean: prompts that share parts meet where the parts are cached, and
-/// a popular prompt spills over in a fixed order. Other requests go to the least loaded endpoint.
+/// a popular prompt spills over in a fixed order. The bound is wide for long shared parts, which
+/// are dear to read again, and narrow for short ones, which even out the load. Other requests go to
+/// the least loaded endpoint.
 /// Endpoints that are full, failing or overloaded come last.
 [[nodiscard]] std::vector<EndpointPtr> RankEndpoints(std::span<const EndpointPtr> endpoints,
                                                      const RankingRequest& request, SteadyTime now,
                                                      RandomSource& random, std::size_t limit);
 
-/// \brief Hash of the prompt parts that a request shares with others. `parts` is a comma-separated
-/// list of `id:tokens`, of which the last one belongs to the request alone.
-[[nodiscard]] std::optional<std::uint64_t> PromptKey(std::string_view parts) noexcept;
+/// \brief Reads a comma-separated list of `id:tokens`, of which the last part belongs to the request
+/// alone. Empty if the list is.
+[[nodiscard]] std::optional<SharedPrompt> ParsePrompt(std::string_view parts) noexcept;
 
 }  // namespace wagtailwind::forward
 
--- a/src/forward/forward_task.cc
+++ b/src/forward/forward_task.cc
@@ -216,7 +216,7 @@
     ranking.max_connections = spec->second.max_connections / kConnectionShare;
   }
   if (m_route->has_prompt) {
-    ranking.prompt_key = PromptKey(http::FindHeader(headers, m_context.names.prompt_parts));
+    ranking.prompt = ParsePrompt(http::FindHeader(headers, m_context.names.prompt_parts));
   }
   m_ranked = RankEndpoints(m_context.endpoints.Usable(m_service.value()), ranking,
                            m_context.clock.Now(), m_context.random, kMaxCandidates);
