Spare new endpoints, and judge failing ones against their pool's mean

Cause: each start of a replica moved its share of the prompts at once to an empty cache, and while a whole pool failed part of its requests, half of the prompts left their home.

--- a/src/forward/endpoint.h
+++ b/src/forward/endpoint.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "core/clock.h"
 #include "core/ids.h"
 #include "forward/endpoint_health.h"
 #include "forward/load_estimate.h"
@@ -24,6 +25,8 @@
   bool draining = false;
   /// Changes at a restart under the same name.
   Incarnation incarnation = 0;
+  /// Start of the process by its own clock; the epoch if it does not tell.
+  WallTime started_at{};
   /// Models that it serves; empty: any.
   std::vector<ModelName> models;
 
--- a/src/forward/endpoint_ranking.cc
+++ b/src/forward/endpoint_ranking.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <chrono>
 
 #include "core/hash.h"
 
@@ -33,9 +34,22 @@
 // Breaks ties between routers that have seen the same reports.
 constexpr double kJitter = 0.1;
 
-// Failure rate above which an endpoint comes last, beyond that of its peers.
+// An endpoint comes last if its failure rate is above this multiple of the pool's mean and this
+// much more. When the whole pool fails, moving requests away helps nobody and loses cached parts.
+constexpr double kFailureFactor = 1.5;
 constexpr double kExcessFailureRate = 0.2;
 
+// Endpoints that started within this time of the oldest one belong to the same start of the pool.
+constexpr std::chrono::seconds kSameStart{5};
+
+// Age at which a new endpoint has its full share of the prompts. Until then it is filled by short
+// prompts and by what other endpoints have no room for.
+constexpr std::chrono::seconds kFullShareAge{300};
+constexpr double kLeastShare = 0.02;
+
+// Load of the old endpoints over the pool's mean that sparing the new ones may lead to.
+constexpr double kOldExcess = 1.25;
+
 struct Scored {
   const EndpointPtr* endpoint;
   /// 0: within the bounds; 1: overloaded; 2: full or failing.
@@ -56,6 +70,25 @@
          std::find(models.begin(), models.end(), request.model) != models.end();
 }
 
+bool IsYoung(const Endpoint& endpoint, WallTime oldest) {
+  return endpoint.record.started_at - oldest >= kSameStart;
+}
+
+/// Share of the prompts that are at home at a new endpoint, against an old one.
+double YoungShare(const Endpoint& endpoint, double least, WallTime now) {
+  const double age =
+      std::chrono::duration<double>(now - endpoint.record.started_at) / kFullShareAge;
+  return std::clamp(age * age, least, 1.0);
+}
+
+/// Least share of new endpoints, so that the old ones are not driven over the load bound.
+double LeastYoungShare(std::size_t old_count, std::size_t young_count) {
+  const double needed =
+      static_cast<double>(old_count + young_count) / kOldExcess - static_cast<double>(old_count);
+  return std::clamp(needed / static_cast<double>(std::max<std::size_t>(young_count, 1)),
+                    kLeastShare, 1.0);
+}
+
 double LoadCost(const Endpoint& endpoint, const RankingRequest& request, double load,
                 RandomSource& random) {
   const double slots = std::max<double>(endpoint.record.slots, 1);
@@ -65,42 +98,60 @@
 
 }  // namespace
 
-std::vector<EndpointPtr> RankEndpoints(std::span<const EndpointPtr> endpoints,
-                                       const RankingRequest& request, SteadyTime now,
-                                       RandomSource& random, std::size_t limit) {
+Ranking RankEndpoints(std::span<const EndpointPtr> endpoints, const RankingRequest& request,
+                      SteadyTime now, RandomSource& random, std::size_t limit) {
   double total_load = 0;
-  double lowest_failure_rate = 1;
+  double total_failure_rate = 0;
   std::size_t count = 0;
+  WallTime oldest = WallTime::max();
   for (const EndpointPtr& endpoint : endpoints) {
     if (CanServe(*endpoint, request)) {
       ++count;
+      oldest = std::min(oldest, endpoint->record.started_at);
       total_load += endpoint->load.Requests(now);
-      lowest_failure_rate = std::min(lowest_failure_rate, endpoint->health.FailureRate(now));
+      total_failure_rate += endpoint->health.FailureRate(now);
     }
   }
   if (count == 0) {
     return {};
   }
+  const auto young = static_cast<std::size_t>(
+      std::count_if(endpoints.begin(), endpoints.end(), [&](const EndpointPtr& endpoint) {
+        return CanServe(*endpoint, request) && IsYoung(*endpoint, oldest);
+      }));
+  const double least_share = LeastYoungShare(count - young, young);
   const double mean = total_load / static_cast<double>(count);
+  const double mean_failure_rate = total_failure_rate / static_cast<double>(count);
   const bool is_long = request.prompt && request.prompt->tokens >= kLongPromptTokens;
   const LoadBound& limits = is_long ? kLongPromptBound : kShortPromptBound;
   const double bound = limits.factor * mean + limits.slack;
   std::vector<Scored> scored;
   scored.reserve(count);
+  const EndpointPtr* home = nullptr;
+  double home_score = 0;
   for (const EndpointPtr& endpoint : endpoints) {
     if (!CanServe(*endpoint, request)) {
       continue;
     }
+    double score = 0;
+    if (request.prompt) {
+      const double share = IsYoung(*endpoint, oldest)
+                               ? YoungShare(*endpoint, least_share, request.wall_now)
+                               : 1.0;
+      score = RendezvousScore(request.prompt->key, endpoint->record.name.value(), share);
+      if (home == nullptr || score > home_score) {
+        home = &endpoint;
+        home_score = score;
+      }
+    }
     const double load = endpoint->load.Requests(now);
     const bool failing =
         endpoint->health.state() == requests::BreakerState::kOpen || endpoint->full_until > now ||
-        endpoint->health.FailureRate(now) > lowest_failure_rate + kExcessFailureRate;
+        endpoint->health.FailureRate(now) > kFailureFactor * mean_failure_rate + kExcessFailureRate;
     const bool overloaded = request.prompt && load > bound;
     const int tier = failing ? 2 : overloaded ? 1 : 0;
     const double cost =
-        request.prompt && tier == 0
-            ? -RendezvousScore(request.prompt->key, endpoint->record.name.value())
-            : LoadCost(*endpoint, request, load, random);
+        request.prompt && tier == 0 ? -score : LoadCost(*endpoint, request, load, random);
     scored.push_back({.endpoint = &endpoint, .tier = tier, .cost = cost});
   }
   const std::size_t kept = std::min(limit, scored.size());
@@ -109,12 +160,12 @@
                       return left.tier != right.tier ? left.tier < right.tier
                                                      : left.cost < right.cost;
                     });
-  std::vector<EndpointPtr> ranked;
-  ranked.reserve(kept);
+  Ranking ranking{.endpoints = {}, .at_home = scored.front().endpoint == home, .mean_load = mean};
+  ranking.endpoints.reserve(kept);
   for (std::size_t i = 0; i < kept; ++i) {
-    ranked.push_back(*scored[i].endpoint);
+    ranking.endpoints.push_back(*scored[i].endpoint);
   }
-  return ranked;
+  return ranking;
 }
 
 std::optional<SharedPrompt> ParsePrompt(std::string_view parts) noexcept {
--- a/src/forward/endpoint_ranking.h
+++ b/src/forward/endpoint_ranking.h
@@ -29,22 +29,34 @@
   ModelName model;
   /// Where the router stands.
   AvailabilityZoneName zone;
+  /// For the age of endpoints.
+  WallTime wall_now{};
   /// Connections that this router opens to one endpoint at most; 0: no limit.
   std::uint32_t max_connections = 0;
 };
 
+/// \brief Endpoints in the order in which they are to be tried.
+struct Ranking {
+  std::vector<EndpointPtr> endpoints;
+  /// The first endpoint is where the prompt's shared parts are expected to be cached.
+  bool at_home = false;
+  /// Mean load of the endpoints that can serve the request.
+  double mean_load = 0;
+};
+
 /// \brief Orders the endpoints of a service for a request, best first, and leaves out those that
 /// can't serve it.
 ///
 /// Requests with a prompt go to the first endpoint in rendezvous order of their key whose load is
 /// within a bound of the pool's mean: prompts that share parts meet where the parts are cached, and
 /// a popular prompt spills over in a fixed order. The bound is wide for long shared parts, which
-/// are dear to read again, and narrow for short ones, which even out the load. Other requests go to
-/// the least loaded endpoint.
+/// are dear to read again, and narrow for short ones, which even out the load. A new endpoint takes
+/// prompts over slowly, because each one that moves is read again. Other requests go to the least
+/// loaded endpoint.
 /// Endpoints that are full, failing or overloaded come last.
-[[nodiscard]] std::vector<EndpointPtr> RankEndpoints(std::span<const EndpointPtr> endpoints,
-                                                     const RankingRequest& request, SteadyTime now,
-                                                     RandomSource& random, std::size_t limit);
+[[nodiscard]] Ranking RankEndpoints(std::span<const EndpointPtr> endpoints,
+                                    const RankingRequest& request, SteadyTime now,
+                                    RandomSource& random, std::size_t limit);
 
 /// \brief Reads a comma-separated list of `id:tokens`, of which the last part belongs to the request
 /// alone. Empty if the list is.
--- a/src/forward/forward_task.cc
+++ b/src/forward/forward_task.cc
@@ -210,6 +210,7 @@
   const auto& headers = m_request.head.headers;
   RankingRequest ranking;
   ranking.zone = m_context.zone;
+  ranking.wall_now = m_context.clock.WallNow();
   ranking.model = ModelName(std::string(http::FindHeader(headers, m_context.names.model)));
   const auto spec = m_configuration->services.find(m_service.value());
   if (spec != m_configuration->services.end()) {
@@ -218,12 +219,21 @@
   if (m_route->has_prompt) {
     ranking.prompt = ParsePrompt(http::FindHeader(headers, m_context.names.prompt_parts));
   }
-  m_ranked = RankEndpoints(m_context.endpoints.Usable(m_service.value()), ranking,
-                           m_context.clock.Now(), m_context.random, kMaxCandidates);
+  Ranking ranked = RankEndpoints(m_context.endpoints.Usable(m_service.value()), ranking,
+                                 m_context.clock.Now(), m_context.random, kMaxCandidates);
+  m_ranked = std::move(ranked.endpoints);
+  m_at_home = ranked.at_home;
+  m_mean_load = ranked.mean_load;
   if (m_ranked.empty()) {
     Refuse(kUnavailable, FailureReason::kNoEndpoint, kRetryWhenNotReady);
     return false;
   }
+  if (ranking.prompt) {
+    m_context.metrics
+        .GetCounter(m_at_home ? "forward_prompts_total{placed=\"home\"}"
+                              : "forward_prompts_total{placed=\"away\"}")
+        .Add();
+  }
   std::vector<router::Candidate> candidates;
   candidates.reserve(m_ranked.size());
   for (const EndpointPtr& endpoint : m_ranked) {
@@ -719,6 +729,8 @@
        {"outcome", outcome},
        {"reason", requests::ToText(reason)},
        {"attempts", m_decision ? m_decision->attempts() : 0},
+       {"at_home", m_at_home ? 1 : 0},
+       {"mean_load", m_mean_load},
        {"endpoint", m_ranked.empty() ? std::string_view() : m_ranked.front()->record.name.value()},
        {"events", m_events},
        {"first_event_ms",
--- a/src/forward/forward_task.h
+++ b/src/forward/forward_task.h
@@ -109,6 +109,8 @@
   ServiceName m_service;
   SteadyTime m_deadline{};
   std::vector<EndpointPtr> m_ranked;
+  bool m_at_home = false;
+  double m_mean_load = 0;
 
   std::optional<router::RequestDecision> m_decision;
   net::Timer m_limit_timer;
