Avoid endpoints that are silent while requests wait

Cause: replicas that lose power took requests until their entry lapsed, about 3.6 s, because the breaker needs failures and silence is none before the deadline; and parts were not fetched from replicas whose breaker was open although they answer.

--- a/src/forward/endpoint_ranking.cc
+++ b/src/forward/endpoint_ranking.cc
@@ -81,6 +81,10 @@
       score = candidate_score;
     }
   }
+
+  [[nodiscard]] bool Is(const EndpointPtr& other) const {
+    return endpoint != nullptr && *endpoint == other;
+  }
 };
 
 bool IsYoung(const Endpoint& endpoint, WallTime oldest) {
@@ -161,6 +165,7 @@
     const double load = endpoint->load.Requests(now);
     const bool failing =
         endpoint->health.state() == requests::BreakerState::kOpen || endpoint->full_until > now ||
+        endpoint->health.IsSilent(now) ||
         endpoint->health.FailureRate(now) > kFailureFactor * mean_failure_rate + kExcessFailureRate;
     const bool overloaded = request.prompt && load > bound;
     const int tier = failing ? 2 : overloaded ? 1 : 0;
@@ -176,7 +181,7 @@
                     });
   const EndpointPtr& first = *scored.front().endpoint;
   Ranking ranking{.endpoints = {},
-                  .at_home = home.endpoint != nullptr && first == *home.endpoint,
+                  .at_home = home.Is(first),
                   .cached_at = {},
                   .mean_load = mean};
   if (request.prompt) {
@@ -184,9 +189,11 @@
       old_holder.Offer(endpoint,
                        RendezvousScore(request.prompt->key, endpoint->record.name.value()));
     }
-    if (old_holder.endpoint != nullptr && *old_holder.endpoint != first &&
-        (*old_holder.endpoint)->health.state() != requests::BreakerState::kOpen) {
-      ranking.cached_at = *old_holder.endpoint;
+    // When the first one is the old holder, only a new endpoint can have taken the prompt over.
+    const Holder& source = old_holder.Is(first) ? home : old_holder;
+    if (!source.Is(first) && source.endpoint != nullptr &&
+        !(*source.endpoint)->health.IsSilent(now)) {
+      ranking.cached_at = *source.endpoint;
     }
   }
   ranking.endpoints.reserve(kept);
--- a/src/forward/forward_task.cc
+++ b/src/forward/forward_task.cc
@@ -93,8 +93,7 @@
 ForwardTask::~ForwardTask() {
   *m_alive = false;
   if (m_connection) {
-    m_connection->endpoint->health.OnNeutral();
-    EndAttempt();
+    DropAttempt();
   }
 }
 
@@ -352,6 +351,12 @@
   return text.append("\r\n").append(m_request.body);
 }
 
+void ForwardTask::DropAttempt() {
+  EndpointHealth& health = m_connection->endpoint->health;
+  m_sent ? health.OnNeutral() : health.OnNotSent();
+  EndAttempt();
+}
+
 void ForwardTask::EndAttempt() {
   m_silence_timer.Cancel();
   if (m_connection) {
@@ -371,7 +376,7 @@
                        {"sent", m_sent ? 1 : 0},
                        {"events", m_events},
                        {"after_ms", ToMilliseconds(m_context.clock.Now() - m_sent_at)}});
-  endpoint->health.OnFailure(m_context.clock.Now());
+  endpoint->health.OnFailure(AttemptFailure::kLost, m_context.clock.Now());
   EndAttempt();
   Follow(m_decision->OnLost(m_attempt, reason));
 }
@@ -409,8 +414,7 @@
   }
   const router::Step step = m_decision->OnAbort(FailureReason::kDeadlineExceeded);
   if (m_connection) {
-    m_connection->endpoint->health.OnNeutral();
-    EndAttempt();
+    DropAttempt();
   }
   Finish(step);
 }
@@ -419,6 +423,7 @@
 
 void ForwardTask::OnSending() {
   m_sent = true;
+  m_connection->endpoint->health.OnSent(m_context.clock.Now());
   m_decision->OnHandedOver(m_attempt);
 }
 
@@ -450,6 +455,7 @@
 }
 
 bool ForwardTask::OnResponseHead(http1::MessageHead head) {
+  m_connection->endpoint->health.OnHeard(m_context.clock.Now());
   const std::string_view id = http::FindHeader(head.headers, m_context.names.attempt_id);
   // Without an id, only the first answer on a connection is surely that of this request.
   const bool belongs = id.empty() ? !m_connection->reused : id == m_id;
@@ -478,6 +484,7 @@
 }
 
 void ForwardTask::OnResponseBody(std::string_view part) {
+  m_connection->endpoint->health.OnHeard(m_context.clock.Now());
   if (m_kind == AnswerKind::kEvents) {
     m_framer.Feed(part, [this](std::string_view event, std::optional<std::uint64_t> id) {
       OnEvent(event, id);
@@ -581,7 +588,7 @@
         Finish(m_decision->OnAbort(FailureReason::kEngineLost));
         return;
       }
-      endpoint->health.OnFailure(now);
+      endpoint->health.OnFailure(AttemptFailure::kAnswered, now);
       Log(kAttemptFailed, {{"id", m_id},
                            {"attempt", m_attempt},
                            {"endpoint", endpoint->record.name.value()},
@@ -592,7 +599,7 @@
       return;
     case AnswerKind::kInvalid:
     case AnswerKind::kNone:
-      endpoint->health.OnFailure(now);
+      endpoint->health.OnFailure(AttemptFailure::kAnswered, now);
       Log(kAttemptFailed, {{"id", m_id},
                            {"attempt", m_attempt},
                            {"endpoint", endpoint->record.name.value()},
@@ -619,7 +626,7 @@
                          {"endpoint", endpoint->record.name.value()},
                          {"reason", http1::ToText(end)},
                          {"detail", detail}});
-    endpoint->health.OnFailure(m_context.clock.Now());
+    endpoint->health.OnFailure(AttemptFailure::kNotConnected, m_context.clock.Now());
     EndAttempt();
     Follow(m_decision->OnNotHandedOver(m_attempt));
     return;
--- a/src/forward/forward_task.h
+++ b/src/forward/forward_task.h
@@ -64,6 +64,8 @@
   [[nodiscard]] bool StartAttempt(const router::Step& step, const EndpointPtr& endpoint);
   [[nodiscard]] std::string RequestText(const EndpointPtr& endpoint) const;
   void EndAttempt();
+  /// Ends an attempt for a reason that is not the endpoint's.
+  void DropAttempt();
   void LoseAttempt(requests::FailureReason reason, std::string_view detail);
   void OnSilence();
   void WatchForSilence();
