Let requests wait some milliseconds for the first configuration, and watch a little longer

A request that arrives in the first milliseconds of a process waits up to 300 ms for the configuration in place of losing one of its caller's retries.

--- a/src/forward/endpoint_follower.cc
+++ b/src/forward/endpoint_follower.cc
@@ -33,7 +33,7 @@
     }
   }
   m_context.endpoints.Replace(records, m_context.clock.Now());
-  m_ready = true;
+  m_context.endpoints_known = true;
   Log(kEndpointListed, {{"entries", items.size()}, {"endpoints", m_context.endpoints.Size()}});
 }
 
--- a/src/forward/endpoint_follower.h
+++ b/src/forward/endpoint_follower.h
@@ -21,9 +21,6 @@
   void OnFeedLost(std::string_view reason) override;
   void OnFeedRegained() override;
 
-  /// \brief Whether the list has been read.
-  [[nodiscard]] bool ready() const noexcept { return m_ready; }
-
  private:
   /// Empty if the entry names no endpoint to use.
   [[nodiscard]] std::optional<EndpointRecord> Decode(const platform::KeyValueItem& item) const;
@@ -31,7 +28,6 @@
 
   ForwardContext& m_context;
   const DeploymentAdapter& m_adapter;
-  bool m_ready = false;
 };
 
 }  // namespace wagtailwind::forward
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -33,6 +33,8 @@
 
   EndpointRegistry endpoints;
   ConnectionPool pool;
+  /// Whether the list of endpoints has been read.
+  bool endpoints_known = false;
   Confirmation confirmation;
   /// Empty until the first configuration has been read.
   std::shared_ptr<const RoutingConfiguration> configuration;
--- a/src/forward/forward_task.cc
+++ b/src/forward/forward_task.cc
@@ -42,6 +42,11 @@
 // An endpoint without room for a request gets no other one for about the time of a short request.
 constexpr std::chrono::milliseconds kFullTime = 100ms;
 
+// Time that a request waits for the first configuration, and interval of looking for it. Refusing
+// it at once would cost the caller one of its few retries.
+constexpr std::chrono::milliseconds kStartPatience = 300ms;
+constexpr std::chrono::milliseconds kStartRecheck = 10ms;
+
 // What is left of a request's time must be worth an attempt.
 constexpr std::chrono::milliseconds kMinAttemptTime = 5ms;
 
@@ -85,7 +90,6 @@
       m_request(std::move(request)),
       m_sink(&sink),
       m_on_adopted_end(std::move(on_adopted_end)),
-      m_configuration(context.configuration),
       m_id(http::FindHeader(m_request.head.headers, context.names.attempt_id)),
       m_limit_timer(context.loop, [this] { OnTimeLimit(); }),
       m_silence_timer(context.loop, [this] { OnSilence(); }) {}
@@ -100,7 +104,13 @@
 // --- Admission
 
 void ForwardTask::Start() {
-  if (!m_configuration) {
+  m_configuration = m_context.configuration;
+  if (!m_configuration || !m_context.endpoints_known) {
+    // A router that has just started knows both within some milliseconds.
+    if (m_context.clock.Now() - m_request.received_at < kStartPatience) {
+      m_limit_timer.Start(kStartRecheck);
+      return;
+    }
     Refuse(kUnavailable, FailureReason::kNotReady, kRetryWhenNotReady);
     return;
   }
@@ -409,7 +419,11 @@
 }
 
 void ForwardTask::OnTimeLimit() {
-  if (m_done || !m_decision) {
+  if (m_done) {
+    return;
+  }
+  if (!m_decision) {
+    Start();
     return;
   }
   const router::Step step = m_decision->OnAbort(FailureReason::kDeadlineExceeded);
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -33,7 +33,7 @@
 constexpr std::uint64_t kBodyMemoryShare = 4;
 
 // Watches of endpoints wait this long after changes, so that the heartbeats of a pool share a call.
-// The bound on draining endpoints is some seconds.
+// The platform allows two seconds until a draining endpoint gets no more requests.
 constexpr std::chrono::milliseconds kEndpointPause = 500ms;
 
 }  // namespace
@@ -174,6 +174,7 @@
                   m_context.pool.CloseIdle(*endpoint);
                 }),
                 .pool = ConnectionPool(loop, clock),
+                .endpoints_known = false,
                 .confirmation = {},
                 .configuration = {},
                 .retry_budgets = {}},
@@ -211,7 +212,7 @@
 bool Forwarder::IsReady() const {
   const auto limit = std::chrono::duration_cast<std::chrono::nanoseconds>(
       m_context.bounds.key_revocation * kReadyShare);
-  return !m_stopping && m_context.configuration && m_endpoint_follower.ready() &&
+  return !m_stopping && m_context.configuration && m_context.endpoints_known &&
          m_context.confirmation.Age(m_context.clock.BootNow()) <= limit;
 }
 
--- a/src/forward/prefix_feed.cc
+++ b/src/forward/prefix_feed.cc
@@ -11,7 +11,7 @@
 
 // Long enough that watches are rare, short enough that keys, which count as revoked after a few
 // seconds without confirmation, stay valid when one watch fails.
-constexpr std::chrono::milliseconds kWatchTime = 1'200ms;
+constexpr std::chrono::milliseconds kWatchTime = 1'400ms;
 
 // The service answers in milliseconds; in a slow phase it takes some hundred.
 constexpr std::chrono::milliseconds kAnswerTimeout = 1'000ms;
