--- a/src/core/line_log.cc
+++ b/src/core/line_log.cc
@@ -74,7 +74,7 @@
     std::strftime(state.second_text, sizeof(state.second_text), "%Y-%m-%dT%H:%M:%S", &utc);
   }
   constexpr long kNanosecondsPerMillisecond = 1'000'000;
-  char milliseconds[8];
+  char milliseconds[24];
   std::snprintf(milliseconds, sizeof(milliseconds), ".%03ldZ",
                 now.tv_nsec / kNanosecondsPerMillisecond);
   line.append(state.second_text).append(milliseconds);
@@ -93,8 +93,7 @@
   if (event.level < state.minimum) {
     return;
   }
-  const std::size_t limit =
-      event.level >= LogLevel::kWarn ? kMaxBufferedBytes : kMaxRoutineBytes;
+  const std::size_t limit = event.level >= LogLevel::kWarn ? kMaxBufferedBytes : kMaxRoutineBytes;
   if (state.buffer.size() >= limit) {
     ++state.dropped;
     return;
--- a/src/forward/caller_session.h
+++ b/src/forward/caller_session.h
@@ -51,8 +51,7 @@
                             private ResponseSink {
  public:
   /// \brief Takes a connection from the listener. Throws net::SocketFailed.
-  CallerSession(net::EventLoop& loop, const Clock& clock, SessionHost& host,
-                uv_stream_t* listener);
+  CallerSession(net::EventLoop& loop, const Clock& clock, SessionHost& host, uv_stream_t* listener);
   ~CallerSession() override;
 
   /// \brief Ends the session now if it is idle; otherwise its next response is the last one.
--- a/src/forward/configuration_follower.cc
+++ b/src/forward/configuration_follower.cc
@@ -52,14 +52,13 @@
   m_context.configuration = std::move(next);
   m_context.metrics.GetGauge("forward_configuration_version")
       .Set(static_cast<double>(m_context.configuration->version));
-  Log(kConfigurationInForce,
-      {{"version", m_context.configuration->version},
-       {"before", current},
-       {"revision", item.revision},
-       {"routes", m_context.configuration->RouteCount()},
-       {"decode_us", std::chrono::duration_cast<std::chrono::microseconds>(m_context.clock.Now() -
-                                                                           start)
-                         .count()}});
+  Log(kConfigurationInForce, {{"version", m_context.configuration->version},
+                              {"before", current},
+                              {"revision", item.revision},
+                              {"routes", m_context.configuration->RouteCount()},
+                              {"decode_us", std::chrono::duration_cast<std::chrono::microseconds>(
+                                                m_context.clock.Now() - start)
+                                                .count()}});
   return true;
 }
 
--- a/src/forward/connection_pool.cc
+++ b/src/forward/connection_pool.cc
@@ -70,16 +70,15 @@
     Discard(std::move(connection));
   }
   ++endpoint->connections;
-  auto opened = std::make_unique<http1::ClientConnection>(m_loop, endpoint->record.address,
-                                                          kConnectTimeout);
+  auto opened =
+      std::make_unique<http1::ClientConnection>(m_loop, endpoint->record.address, kConnectTimeout);
   opened->SetPeerTimeout(kPeerTimeout);
   return {.endpoint = endpoint, .connection = std::move(opened)};
 }
 
 void ConnectionPool::Release(EndpointConnection connection,
                              std::optional<std::chrono::milliseconds> idle_limit) {
-  const auto usable_for =
-      std::min(idle_limit.value_or(kDefaultIdleLimit) - kCloseMargin, kMaxIdle);
+  const auto usable_for = std::min(idle_limit.value_or(kDefaultIdleLimit) - kCloseMargin, kMaxIdle);
   if (usable_for <= 0ms || !connection.endpoint->usable) {
     Discard(std::move(connection));
     return;
--- a/src/forward/endpoint_follower.cc
+++ b/src/forward/endpoint_follower.cc
@@ -41,8 +41,7 @@
                                  BootTime /*sent_at*/) {
   for (const platform::KeyValueItem& change : changes) {
     const std::string_view name = NameOf(change);
-    const std::optional<EndpointRecord> record =
-        change.deleted ? std::nullopt : Decode(change);
+    const std::optional<EndpointRecord> record = change.deleted ? std::nullopt : Decode(change);
     if (record) {
       m_context.endpoints.Put(*record);
     } else {
--- a/src/forward/endpoint_health.cc
+++ b/src/forward/endpoint_health.cc
@@ -58,9 +58,7 @@
   }
 }
 
-void EndpointHealth::EndRequest() noexcept {
-  m_waiting -= m_waiting > 0 ? 1 : 0;
-}
+void EndpointHealth::EndRequest() noexcept { m_waiting -= m_waiting > 0 ? 1 : 0; }
 
 void EndpointHealth::OnSuccess(SteadyTime now) noexcept {
   EndRequest();
--- a/src/forward/endpoint_ranking.cc
+++ b/src/forward/endpoint_ranking.cc
@@ -10,9 +10,9 @@
 
 namespace {
 
-/// Load up to which an endpoint takes prompts that are at home there: `factor` times the pool's mean
-/// and `slack` requests. At a low mean, single requests would otherwise drive prompts away from
-/// their cached parts.
+/// Load up to which an endpoint takes prompts that are at home there: `factor` times the pool's
+/// mean and `slack` requests. At a low mean, single requests would otherwise drive prompts away
+/// from their cached parts.
 struct LoadBound {
   double factor;
   double slack;
@@ -115,9 +115,9 @@
 
 }  // namespace
 
-Ranking RankEndpoints(std::span<const EndpointPtr> endpoints,
-                      std::span<const EndpointPtr> draining, const RankingRequest& request,
-                      SteadyTime now, RandomSource& random, std::size_t limit) {
+Ranking RankEndpoints(std::span<const EndpointPtr> endpoints, std::span<const EndpointPtr> draining,
+                      const RankingRequest& request, SteadyTime now, RandomSource& random,
+                      std::size_t limit) {
   double total_load = 0;
   double total_failure_rate = 0;
   std::size_t count = 0;
@@ -154,9 +154,9 @@
     double score = 0;
     if (request.prompt) {
       const bool is_young = IsYoung(*endpoint, oldest);
-      score = RendezvousScore(
-          request.prompt->key, endpoint->record.name.value(),
-          is_young ? YoungShare(*endpoint, least_share, request.wall_now) : 1.0);
+      score =
+          RendezvousScore(request.prompt->key, endpoint->record.name.value(),
+                          is_young ? YoungShare(*endpoint, least_share, request.wall_now) : 1.0);
       home.Offer(endpoint, score);
       if (!is_young) {
         old_holder.Offer(endpoint, score);
@@ -180,10 +180,7 @@
                                                      : left.cost < right.cost;
                     });
   const EndpointPtr& first = *scored.front().endpoint;
-  Ranking ranking{.endpoints = {},
-                  .at_home = home.Is(first),
-                  .cached_at = {},
-                  .mean_load = mean};
+  Ranking ranking{.endpoints = {}, .at_home = home.Is(first), .cached_at = {}, .mean_load = mean};
   if (request.prompt) {
     for (const EndpointPtr& endpoint : draining) {
       old_holder.Offer(endpoint,
--- a/src/forward/endpoint_ranking.h
+++ b/src/forward/endpoint_ranking.h
@@ -63,8 +63,8 @@
                                     const RankingRequest& request, SteadyTime now,
                                     RandomSource& random, std::size_t limit);
 
-/// \brief Reads a comma-separated list of `id:tokens`, of which the last part belongs to the request
-/// alone. Empty if the list is.
+/// \brief Reads a comma-separated list of `id:tokens`, of which the last part belongs to the
+/// request alone. Empty if the list is.
 [[nodiscard]] std::optional<SharedPrompt> ParsePrompt(std::string_view parts) noexcept;
 
 }  // namespace wagtailwind::forward
--- a/src/forward/forward_task.cc
+++ b/src/forward/forward_task.cc
@@ -177,8 +177,8 @@
 }
 
 void ForwardTask::ReadDeadline() {
-  const auto asked = ParseMilliseconds(
-      http::FindHeader(m_request.head.headers, m_context.names.deadline));
+  const auto asked =
+      ParseMilliseconds(http::FindHeader(m_request.head.headers, m_context.names.deadline));
   std::chrono::milliseconds limit = m_route->timeout;
   if (asked) {
     limit = std::min(limit, *asked);
@@ -271,8 +271,8 @@
 
 void ForwardTask::Follow(router::Step step) {
   while (step.kind == router::Step::Kind::kAttempt) {
-    const auto endpoint = std::find_if(
-        m_ranked.begin(), m_ranked.end(), [&step](const EndpointPtr& candidate) {
+    const auto endpoint =
+        std::find_if(m_ranked.begin(), m_ranked.end(), [&step](const EndpointPtr& candidate) {
           return candidate->record.name == step.candidate.endpoint;
         });
     if (endpoint != m_ranked.end() && StartAttempt(step, *endpoint)) {
@@ -353,8 +353,8 @@
   if (m_cached_at && m_cached_at != endpoint) {
     add(names.fetch_from, m_cached_at->record.address);
   }
-  const bool has_body = !m_request.body.empty() || m_request.head.content_length ||
-                        m_request.head.chunked;
+  const bool has_body =
+      !m_request.body.empty() || m_request.head.content_length || m_request.head.chunked;
   if (has_body) {
     add("Content-Length", std::to_string(m_request.body.size()));
   }
@@ -563,9 +563,8 @@
   connection.endpoint->load.OnEnded();
   const EndpointPtr endpoint = connection.endpoint;
   if (reusable) {
-    m_context.pool.Release(
-        std::move(connection),
-        KeepAliveTimeout(http::FindHeader(m_answer_head.headers, "Keep-Alive")));
+    m_context.pool.Release(std::move(connection),
+                           KeepAliveTimeout(http::FindHeader(m_answer_head.headers, "Keep-Alive")));
   } else {
     m_context.pool.Discard(std::move(connection));
   }
@@ -694,10 +693,9 @@
   if (retry_after) {
     // Spread, so that callers that were refused together do not return together.
     const auto spread = static_cast<std::uint64_t>(retry_after->count());
-    headers.push_back(
-        {"Retry-After",
-         SecondsText(*retry_after / 2 + std::chrono::milliseconds(
-                                            m_context.random.Below(spread + 1)))});
+    headers.push_back({"Retry-After",
+                       SecondsText(*retry_after / 2 +
+                                   std::chrono::milliseconds(m_context.random.Below(spread + 1)))});
   }
   if (m_sink != nullptr) {
     m_sink->Respond(status, headers, {});
@@ -792,8 +790,7 @@
                     {"attempts", m_decision ? m_decision->attempts() : 0},
                     {"events", m_events},
                     {"goes_on", goes_on ? 1 : 0},
-                    {"after_ms",
-                     ToMilliseconds(m_context.clock.Now() - m_request.received_at)}});
+                    {"after_ms", ToMilliseconds(m_context.clock.Now() - m_request.received_at)}});
   return goes_on;
 }
 
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -142,12 +142,11 @@
 
  private:
   void Drop(RequestTask& task) {
-    m_forwarder.m_context.loop.Post(
-        [this, alive = std::weak_ptr<bool>(m_alive), key = &task] {
-          if (!alive.expired()) {
-            m_adopted.erase(key);
-          }
-        });
+    m_forwarder.m_context.loop.Post([this, alive = std::weak_ptr<bool>(m_alive), key = &task] {
+      if (!alive.expired()) {
+        m_adopted.erase(key);
+      }
+    });
   }
 
   Forwarder& m_forwarder;
@@ -193,17 +192,17 @@
   m_caller_listener = std::make_unique<net::TcpListener>(
       loop, settings.listen_callers,
       [this](uv_stream_t* listener) { m_callers->m_sessions.Accept(*m_callers, listener); });
-  m_configuration_feed = std::make_unique<PrefixFeed>(
-      loop, clock, random, adapter.Codec(),
-      FeedSettings{.address = settings.key_value,
-                   .prefix = std::string(adapter.ConfigurationKey())},
-      m_configuration_follower);
-  m_endpoint_feed = std::make_unique<PrefixFeed>(
-      loop, clock, random, adapter.Codec(),
-      FeedSettings{.address = settings.key_value,
-                   .prefix = std::string(adapter.EndpointPrefix()),
-                   .pause_after_change = kEndpointPause},
-      m_endpoint_follower);
+  m_configuration_feed =
+      std::make_unique<PrefixFeed>(loop, clock, random, adapter.Codec(),
+                                   FeedSettings{.address = settings.key_value,
+                                                .prefix = std::string(adapter.ConfigurationKey())},
+                                   m_configuration_follower);
+  m_endpoint_feed =
+      std::make_unique<PrefixFeed>(loop, clock, random, adapter.Codec(),
+                                   FeedSettings{.address = settings.key_value,
+                                                .prefix = std::string(adapter.EndpointPrefix()),
+                                                .pause_after_change = kEndpointPause},
+                                   m_endpoint_follower);
   m_tick.StartPeriodic(kTickInterval);
 }
 
@@ -227,9 +226,10 @@
          {"stopping", m_stopping ? 1 : 0},
          {"configuration", m_context.configuration ? m_context.configuration->version : 0},
          {"endpoints", m_context.endpoints.Size()},
-         {"confirmed_ms", age == std::chrono::nanoseconds::max()
-                              ? -1
-                              : std::chrono::duration_cast<std::chrono::milliseconds>(age).count()}});
+         {"confirmed_ms",
+          age == std::chrono::nanoseconds::max()
+              ? -1
+              : std::chrono::duration_cast<std::chrono::milliseconds>(age).count()}});
   }
   m_context.metrics.GetGauge("forward_idle_connections")
       .Set(static_cast<double>(m_context.pool.IdleCount()));
@@ -283,9 +283,8 @@
       for (const EndpointPtr& endpoint : m_context.endpoints.Usable(name)) {
         out << "endpoint " << endpoint->record.name.value() << " service " << name << " address "
             << endpoint->record.address << " own " << endpoint->load.own() << " load "
-            << endpoint->load.Requests(now) << " failure_rate "
-            << endpoint->health.FailureRate(now) << " connections " << endpoint->connections
-            << '\n';
+            << endpoint->load.Requests(now) << " failure_rate " << endpoint->health.FailureRate(now)
+            << " connections " << endpoint->connections << '\n';
       }
     }
   }
--- a/src/forward/header_rules.cc
+++ b/src/forward/header_rules.cc
@@ -13,9 +13,8 @@
 // RFC 9110, section 7.6.1, and the fields that describe the length of the body, which the next
 // sender sets itself.
 constexpr std::array<std::string_view, 10> kConnectionFields = {
-    "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate",
-    "TE",         "Transfer-Encoding", "Trailer",          "Upgrade",
-    "Expect",     "Content-Length"};
+    "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "TE", "Transfer-Encoding",
+    "Trailer",    "Upgrade",    "Expect",           "Content-Length"};
 
 std::string_view Trim(std::string_view text) noexcept {
   const std::size_t first = text.find_first_not_of(" \t");
@@ -63,9 +62,9 @@
   std::vector<http::Header> kept;
   kept.reserve(headers.size());
   for (const http::Header& header : headers) {
-    const bool drop =
-        std::any_of(dropped.begin(), dropped.end(),
-                    [&header](std::string_view name) { return SameName(name, header.name); });
+    const bool drop = std::any_of(dropped.begin(), dropped.end(), [&header](std::string_view name) {
+      return SameName(name, header.name);
+    });
     if (!drop) {
       kept.push_back(header);
     }
@@ -75,9 +74,8 @@
 
 std::size_t CountHeaders(const std::vector<http::Header>& headers, std::string_view name) noexcept {
   return static_cast<std::size_t>(
-      std::count_if(headers.begin(), headers.end(), [name](const http::Header& header) {
-        return SameName(header.name, name);
-      }));
+      std::count_if(headers.begin(), headers.end(),
+                    [name](const http::Header& header) { return SameName(header.name, name); }));
 }
 
 std::optional<std::chrono::milliseconds> ParseMilliseconds(std::string_view text) noexcept {
--- a/src/forward/prefix_feed.cc
+++ b/src/forward/prefix_feed.cc
@@ -134,8 +134,8 @@
   constexpr int kMaxDoublings = 8;
   const auto ceiling =
       std::min(kMaxBackoff, kFirstBackoff * (1 << std::min(m_failures - 2, kMaxDoublings)));
-  CallAfter(ceiling / 2 + std::chrono::milliseconds(m_random.Below(
-                              static_cast<std::uint64_t>(ceiling.count()) / 2 + 1)));
+  CallAfter(ceiling / 2 + std::chrono::milliseconds(
+                              m_random.Below(static_cast<std::uint64_t>(ceiling.count()) / 2 + 1)));
 }
 
 void PrefixFeed::FinishRange() {
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -86,11 +86,11 @@
     : m_handle(new Handle{.function = std::move(function)}) {
   uv_signal_init(loop.Get(), &m_handle->signal);
   m_handle->signal.data = m_handle;
-  Check(uv_signal_start(
-            &m_handle->signal,
-            [](uv_signal_t* handle, int) { static_cast<Handle*>(handle->data)->function(); },
-            signal),
-        "uv_signal_start");
+  Check(
+      uv_signal_start(
+          &m_handle->signal,
+          [](uv_signal_t* handle, int) { static_cast<Handle*>(handle->data)->function(); }, signal),
+      "uv_signal_start");
 }
 
 SignalWatcher::~SignalWatcher() {
--- a/src/net/tcp_stream.cc
+++ b/src/net/tcp_stream.cc
@@ -108,19 +108,19 @@
   const sockaddr_storage target = Resolve(address);
   uv_tcp_nodelay(&m_handle->tcp, 1);
   m_handle->connect.data = m_handle;
-  const int result = uv_tcp_connect(&m_handle->connect, &m_handle->tcp,
-                                    reinterpret_cast<const sockaddr*>(&target),
-                                    [](uv_connect_t* request, int status) {
-                                      auto* handle = static_cast<Handle*>(request->data);
-                                      if (handle->handler == nullptr) {
-                                        return;
-                                      }
-                                      if (status < 0) {
-                                        handle->Break(status);
-                                      } else {
-                                        handle->handler->OnConnected();
-                                      }
-                                    });
+  const int result =
+      uv_tcp_connect(&m_handle->connect, &m_handle->tcp, reinterpret_cast<const sockaddr*>(&target),
+                     [](uv_connect_t* request, int status) {
+                       auto* handle = static_cast<Handle*>(request->data);
+                       if (handle->handler == nullptr) {
+                         return;
+                       }
+                       if (status < 0) {
+                         handle->Break(status);
+                       } else {
+                         handle->handler->OnConnected();
+                       }
+                     });
   if (result < 0) {
     m_handle->BreakLater(result);
   }
@@ -161,8 +161,8 @@
     return;
   }
   if (QueuedBytes() == 0) {
-    const uv_buf_t whole = uv_buf_init(const_cast<char*>(data.data()),
-                                       static_cast<unsigned int>(data.size()));
+    const uv_buf_t whole =
+        uv_buf_init(const_cast<char*>(data.data()), static_cast<unsigned int>(data.size()));
     const int written = uv_try_write(m_handle->Stream(), &whole, 1);
     if (written < 0 && written != UV_EAGAIN) {
       m_handle->BreakLater(written);
@@ -206,8 +206,7 @@
 
 void TcpStream::ShutDown() {
   auto* request = new uv_shutdown_t{};
-  if (uv_shutdown(request, m_handle->Stream(),
-                  [](uv_shutdown_t* done, int) { delete done; }) < 0) {
+  if (uv_shutdown(request, m_handle->Stream(), [](uv_shutdown_t* done, int) { delete done; }) < 0) {
     delete request;
   }
 }
--- a/src/router/active_request.cc
+++ b/src/router/active_request.cc
@@ -302,7 +302,7 @@
   if (chat == nullptr || chat->chat.empty() || !home || home->endpoint == m_candidate.endpoint) {
     return;
   }
-  m_context->parts.agents.ChatMoved({home->rpc_address, home->incarnation},
+  m_context->parts.agents.ChatMoved({home->address, home->incarnation},
                                     m_prepared.request.call.organisation, chat->chat,
                                     m_candidate.endpoint);
 }
--- /dev/null
+++ b/tests/support/forwarder_fixture.cc
@@ -0,0 +1,307 @@
+#include "support/forwarder_fixture.h"
+
+#include <sstream>
+#include <utility>
+
+#include "http/message.h"
+
+namespace wagtailwind::testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// `key revision deleted value` for each item, behind `more revision`.
+std::string ItemLine(const std::string& key, platform::Revision revision, bool deleted,
+                     const std::string& value) {
+  return key + "\t" + std::to_string(revision) + "\t" + (deleted ? "1" : "0") + "\t" + value + "\n";
+}
+
+platform::WatchPage DecodePage(std::string_view body) {
+  std::istringstream lines{std::string(body)};
+  platform::WatchPage page;
+  std::string line;
+  if (!std::getline(lines, line)) {
+    throw platform::MalformedKeyValueAnswer("empty");
+  }
+  page.revision = std::stoull(line);
+  while (std::getline(lines, line)) {
+    std::istringstream fields(line);
+    std::string revision;
+    std::string deleted;
+    platform::KeyValueItem item;
+    std::getline(fields, item.key, '\t');
+    std::getline(fields, revision, '\t');
+    std::getline(fields, deleted, '\t');
+    std::getline(fields, item.value);
+    item.revision = std::stoull(revision);
+    item.deleted = deleted == "1";
+    page.changes.push_back(std::move(item));
+  }
+  return page;
+}
+
+}  // namespace
+
+FakeDeployment::FakeDeployment() {
+  m_names.attempt_id = "Attempt";
+  m_names.deadline = "Wait";
+  m_names.api_key = "Secret";
+  m_names.organisation = "Organisation";
+  m_names.expected_endpoint = "Only";
+  m_names.not_run = "Refused";
+  m_names.signature = "Signed";
+  m_names.load = "Load";
+  m_names.priority = "Urgency";
+  m_names.prompt_parts = "Parts";
+  m_names.fetch_from = "Fetch";
+  m_names.model = "Model";
+  m_names.reserved = {"Reserved"};
+  m_names.readiness_path = "/ready";
+}
+
+std::shared_ptr<const forward::RoutingConfiguration> FakeDeployment::DecodeConfiguration(
+    std::string_view value) const {
+  const auto found = configurations.find(value);
+  if (found == configurations.end()) {
+    throw forward::MalformedConfiguration("no such configuration");
+  }
+  return found->second;
+}
+
+forward::EndpointRecord FakeDeployment::DecodeEndpoint(std::string_view name,
+                                                       std::string_view value) const {
+  std::istringstream fields{std::string(value)};
+  std::string service;
+  std::string state;
+  forward::EndpointRecord record;
+  record.name = EndpointName(std::string(name));
+  if (!(fields >> service >> record.address >> state >> record.incarnation)) {
+    throw forward::MalformedEndpointEntry("fields are missing");
+  }
+  record.service = ServiceName(service);
+  record.draining = state == "draining";
+  record.slots = 8;
+  return record;
+}
+
+std::string FakeDeployment::RangeRequest(std::string_view prefix,
+                                         std::string_view /*after_key*/) const {
+  return "GET /range?prefix=" + std::string(prefix) + " HTTP/1.1\r\nHost: s\r\n\r\n";
+}
+
+std::string FakeDeployment::WatchRequest(std::string_view prefix, platform::Revision after,
+                                         std::chrono::milliseconds wait) const {
+  return "GET /watch?prefix=" + std::string(prefix) + "&after=" + std::to_string(after) +
+         "&wait=" + std::to_string(wait.count()) + " HTTP/1.1\r\nHost: s\r\n\r\n";
+}
+
+platform::RangePage FakeDeployment::DecodeRange(std::string_view body) const {
+  platform::WatchPage page = DecodePage(body);
+  return {.items = std::move(page.changes), .has_more = false, .revision = page.revision};
+}
+
+platform::WatchPage FakeDeployment::DecodeWatch(std::string_view body) const {
+  return DecodePage(body);
+}
+
+FakeStore::FakeStore(net::EventLoop& loop)
+    : m_loop(loop),
+      m_server(loop, [this](ScriptedServer::Connection& connection) { Handle(connection); }) {}
+
+void FakeStore::Put(const std::string& key, const std::string& value) {
+  const Change change{.key = key, .value = value, .revision = ++m_revision};
+  m_items[key] = change;
+  m_history.push_back(change);
+  AnswerWatches();
+}
+
+void FakeStore::Delete(const std::string& key) {
+  m_items.erase(key);
+  m_history.push_back({.key = key, .value = {}, .revision = ++m_revision, .deleted = true});
+  AnswerWatches();
+}
+
+std::string FakeStore::Changes(std::string_view prefix, platform::Revision after) const {
+  std::string text;
+  for (const Change& change : m_history) {
+    if (change.revision > after && change.key.starts_with(prefix)) {
+      text += ItemLine(change.key, change.revision, change.deleted, change.value);
+    }
+  }
+  return text;
+}
+
+void FakeStore::Handle(ScriptedServer::Connection& connection) {
+  const std::string& target = connection.head.target;
+  const std::size_t question = target.find('?');
+  const std::string_view query = std::string_view(target).substr(question + 1);
+  ++calls[target.substr(0, question)];
+  if (m_fault != 0) {
+    if (m_fault > 0) {
+      connection.Write(HttpText(m_fault, "", ""));
+    }
+    return;
+  }
+  const std::string prefix = http::QueryParameter(query, "prefix");
+  if (target.starts_with("/range")) {
+    std::string body = std::to_string(m_revision) + "\n";
+    for (const auto& [key, item] : m_items) {
+      if (key.starts_with(prefix)) {
+        body += ItemLine(key, item.revision, false, item.value);
+      }
+    }
+    connection.Write(HttpText(200, "", body));
+    return;
+  }
+  const platform::Revision after = std::stoull(http::QueryParameter(query, "after"));
+  if (after < m_compacted) {
+    connection.Write(HttpText(410, "", ""));
+    return;
+  }
+  Watch& watch = m_watches.emplace_back();
+  watch.connection = &connection;
+  watch.prefix = prefix;
+  watch.after = after;
+  watch.timer = std::make_unique<net::Timer>(m_loop, [this, &watch] {
+    watch.connection->Write(HttpText(200, "", std::to_string(m_revision) + "\n"));
+    m_watches.remove_if([&watch](const Watch& entry) { return &entry == &watch; });
+  });
+  watch.timer->Start(std::chrono::milliseconds(std::stoll(http::QueryParameter(query, "wait"))));
+  AnswerWatches();
+}
+
+void FakeStore::AnswerWatches() {
+  if (m_fault != 0) {
+    return;
+  }
+  m_watches.remove_if([this](const Watch& watch) {
+    if (watch.connection->closed()) {
+      return true;
+    }
+    const std::string changes = Changes(watch.prefix, watch.after);
+    if (changes.empty()) {
+      return false;
+    }
+    watch.connection->Write(HttpText(200, "", std::to_string(m_revision) + "\n" + changes));
+    return true;
+  });
+}
+
+/// \brief A caller's connection with one request.
+class ForwarderFixture::Caller final : public http1::ResponseObserver {
+ public:
+  Caller(net::EventLoop& loop, const std::string& address, std::string request, bool is_head)
+      : m_connection(loop, address, 1s) {
+    m_connection.Send(std::move(request), is_head, *this);
+  }
+
+  [[nodiscard]] bool OnResponseHead(http1::MessageHead head) override {
+    answer->status = head.status;
+    answer->headers = head.headers;
+    return true;
+  }
+  void OnResponseBody(std::string_view part) override { answer->body.append(part); }
+  void OnResponseEnd(bool) override { answer->complete = true; }
+  void OnConnectionEnd(http1::ConnectionEnd, std::string_view) override { answer->broken = true; }
+
+  std::shared_ptr<CallerAnswer> answer = std::make_shared<CallerAnswer>();
+
+ private:
+  http1::ClientConnection m_connection;
+};
+
+ForwarderFixture::ForwarderFixture() : store(loop) {}
+
+ForwarderFixture::~ForwarderFixture() = default;
+
+void ForwarderFixture::DropCallers() { m_callers.clear(); }
+
+ScriptedServer& ForwarderFixture::AddEndpoint(const std::string& name,
+                                              ScriptedServer::Handler handler) {
+  ScriptedServer& server =
+      *m_endpoints.emplace_back(std::make_unique<ScriptedServer>(loop, std::move(handler)));
+  store.Put("endpoint/" + name, "engine " + server.Address() + " ready 1");
+  return server;
+}
+
+void ForwarderFixture::Configure(forward::Route route) {
+  auto configuration = std::make_shared<forward::RoutingConfiguration>();
+  configuration->version = ++m_version;
+  configuration->has_organisations = true;
+  configuration->AddKey("key-1", {.organisation = OrganisationName("first")});
+  configuration->services["engine"] = {.name = ServiceName("engine")};
+  configuration->AddRoute(std::move(route));
+  const std::string name = "version-" + std::to_string(m_version);
+  deployment.configurations[name] = std::move(configuration);
+  store.Put("configuration", name);
+}
+
+void ForwarderFixture::Start() {
+  settings::ForwarderSettings settings;
+  settings.instance = InstanceName("router-1");
+  settings.zone = AvailabilityZoneName("zone-1");
+  settings.listen_callers = "127.0.0.1:0";
+  settings.listen_admin = "127.0.0.1:0";
+  settings.key_value = store.Address();
+  forwarder = std::make_unique<forward::Forwarder>(loop, clock, random, metrics, settings,
+                                                   deployment, [this] { stopped = true; });
+  RunUntil([this] { return forwarder->IsReady(); });
+}
+
+std::shared_ptr<CallerAnswer> ForwarderFixture::Send(std::string_view headers,
+                                                     std::string_view body,
+                                                     std::string_view method) {
+  std::string request(method);
+  request.append(" /r/x?q=1 HTTP/1.1\r\nHost: h.example\r\nAttempt: a1\r\n");
+  if (headers.find("Secret:") == std::string_view::npos) {
+    request.append("Secret: key-1\r\n");
+  }
+  request.append(headers);
+  if (!body.empty()) {
+    request.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
+  }
+  request.append("\r\n").append(body);
+  return m_callers
+      .emplace_back(std::make_unique<Caller>(loop, forwarder->CallerAddress(), std::move(request),
+                                             method == "HEAD"))
+      ->answer;
+}
+
+std::shared_ptr<CallerAnswer> ForwarderFixture::Call(std::string_view headers,
+                                                     std::string_view body,
+                                                     std::string_view method) {
+  const auto answer = Send(headers, body, method);
+  RunUntil([&answer] { return answer->complete || answer->broken; });
+  return answer;
+}
+
+bool ForwarderFixture::RunUntil(const std::function<bool()>& condition) {
+  constexpr auto kPatience = 5s;
+  const SteadyTime end = clock.Now() + kPatience;
+  while (!condition() && clock.Now() < end) {
+    loop.RunFor(2ms);
+  }
+  return condition();
+}
+
+std::string SignedHeaders(const ScriptedServer::Connection& connection) {
+  return "Signed: yes\r\nAttempt: " +
+         std::string(http::FindHeader(connection.head.headers, "Attempt")) + "\r\n";
+}
+
+forward::Route TestRoute(forward::RequestKind kind, std::uint32_t attempts) {
+  forward::Route route;
+  route.name = "route";
+  route.host = "h.example";
+  route.prefix = "/r/";
+  route.kind = kind;
+  route.timeout = 2'000ms;
+  route.objective = 100ms;
+  route.max_pause = 300ms;
+  route.max_attempts = attempts;
+  route.services = {{.service = ServiceName("engine")}};
+  return route;
+}
+
+}  // namespace wagtailwind::testing
--- /dev/null
+++ b/tests/support/forwarder_fixture.h
@@ -0,0 +1,183 @@
+#ifndef WAGTAILWIND_TESTS_SUPPORT_FORWARDER_FIXTURE_H_
+#define WAGTAILWIND_TESTS_SUPPORT_FORWARDER_FIXTURE_H_
+
+#include <chrono>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/metrics.h"
+#include "core/random_source.h"
+#include "forward/deployment_adapter.h"
+#include "forward/forwarder.h"
+#include "http1/client_connection.h"
+#include "net/event_loop.h"
+#include "support/scripted_server.h"
+
+namespace wagtailwind::testing {
+
+/// \brief Time of the machine, plus what a test adds; a suspension moves only the boot clock.
+class ShiftedClock final : public Clock {
+ public:
+  [[nodiscard]] SteadyTime Now() const noexcept override { return m_clock.Now(); }
+  [[nodiscard]] WallTime WallNow() const noexcept override { return m_clock.WallNow(); }
+  [[nodiscard]] BootTime BootNow() const noexcept override {
+    return m_clock.BootNow() + m_suspended;
+  }
+  void Suspend(std::chrono::nanoseconds by) noexcept { m_suspended += by; }
+
+ private:
+  SystemClock m_clock;
+  std::chrono::nanoseconds m_suspended{0};
+};
+
+/// \brief A protocol of its own, with names that no deployment uses.
+class FakeDeployment final : public forward::DeploymentAdapter, public platform::KeyValueCodec {
+ public:
+  FakeDeployment();
+
+  [[nodiscard]] const forward::WireNames& Names() const noexcept override { return m_names; }
+  [[nodiscard]] const platform::KeyValueCodec& Codec() const noexcept override { return *this; }
+  [[nodiscard]] std::string_view ConfigurationKey() const noexcept override {
+    return "configuration";
+  }
+  [[nodiscard]] std::string_view EndpointPrefix() const noexcept override { return "endpoint/"; }
+
+  /// \brief The configuration that AddConfiguration() stored under this name.
+  [[nodiscard]] std::shared_ptr<const forward::RoutingConfiguration> DecodeConfiguration(
+      std::string_view value) const override;
+
+  /// \brief `service address state incarnation`.
+  [[nodiscard]] forward::EndpointRecord DecodeEndpoint(std::string_view name,
+                                                       std::string_view value) const override;
+
+  [[nodiscard]] std::string RangeRequest(std::string_view prefix,
+                                         std::string_view after_key) const override;
+  [[nodiscard]] std::string WatchRequest(std::string_view prefix, platform::Revision after,
+                                         std::chrono::milliseconds wait) const override;
+  [[nodiscard]] platform::RangePage DecodeRange(std::string_view body) const override;
+  [[nodiscard]] platform::WatchPage DecodeWatch(std::string_view body) const override;
+
+  std::map<std::string, std::shared_ptr<const forward::RoutingConfiguration>, std::less<>>
+      configurations;
+
+ private:
+  forward::WireNames m_names;
+};
+
+/// \brief A key-value service on the loop: keys, watches, and faults.
+class FakeStore {
+ public:
+  explicit FakeStore(net::EventLoop& loop);
+
+  void Put(const std::string& key, const std::string& value);
+  void Delete(const std::string& key);
+
+  /// \brief Forgets the history: watches from before get status 410.
+  void DropHistory() { m_compacted = m_revision; }
+
+  /// \brief Answers each call with this status; 0: as usual; below 0: not at all.
+  void SetFault(int status) { m_fault = status; }
+
+  [[nodiscard]] std::string Address() const { return m_server.Address(); }
+
+  /// Calls by their path.
+  std::map<std::string, int> calls;
+
+ private:
+  struct Change {
+    std::string key;
+    std::string value;
+    platform::Revision revision = 0;
+    bool deleted = false;
+  };
+  struct Watch {
+    ScriptedServer::Connection* connection = nullptr;
+    std::string prefix;
+    platform::Revision after = 0;
+    std::unique_ptr<net::Timer> timer;
+  };
+
+  void Handle(ScriptedServer::Connection& connection);
+  [[nodiscard]] std::string Changes(std::string_view prefix, platform::Revision after) const;
+  void AnswerWatches();
+
+  net::EventLoop& m_loop;
+  ScriptedServer m_server;
+  std::map<std::string, Change> m_items;
+  std::vector<Change> m_history;
+  std::list<Watch> m_watches;
+  platform::Revision m_revision = 10;
+  platform::Revision m_compacted = 0;
+  int m_fault = 0;
+};
+
+/// \brief What a caller received.
+struct CallerAnswer {
+  bool complete = false;
+  bool broken = false;
+  int status = 0;
+  std::vector<http::Header> headers;
+  std::string body;
+};
+
+/// \brief A forwarder on a loop, with a store, endpoints and callers.
+class ForwarderFixture {
+ public:
+  ForwarderFixture();
+  ~ForwarderFixture();
+
+  /// \brief Adds an endpoint of the service `engine` that answers with `handler`.
+  ScriptedServer& AddEndpoint(const std::string& name, ScriptedServer::Handler handler);
+
+  /// \brief Puts a configuration with one route for `/r/` in force.
+  void Configure(forward::Route route);
+
+  /// \brief Runs the loop until the forwarder is ready.
+  void Start();
+
+  /// \brief Sends a request on a new connection; the answer grows while the loop runs.
+  std::shared_ptr<CallerAnswer> Send(std::string_view headers = "", std::string_view body = "",
+                                     std::string_view method = "GET");
+
+  /// \brief Sends a request and runs the loop until its answer has ended or time is up.
+  std::shared_ptr<CallerAnswer> Call(std::string_view headers = "", std::string_view body = "",
+                                     std::string_view method = "GET");
+
+  /// \brief Runs the loop until the condition holds; false if it did not within 5 s.
+  bool RunUntil(const std::function<bool()>& condition);
+
+  /// \brief Ends all callers' connections.
+  void DropCallers();
+
+  net::EventLoop loop;
+  ShiftedClock clock;
+  SeededRandomSource random{7};
+  MetricsRegistry metrics;
+  FakeDeployment deployment;
+  FakeStore store;
+  std::unique_ptr<forward::Forwarder> forwarder;
+  bool stopped = false;
+
+ private:
+  class Caller;
+
+  std::uint64_t m_version = 0;
+  std::list<std::unique_ptr<ScriptedServer>> m_endpoints;
+  std::list<std::unique_ptr<Caller>> m_callers;
+};
+
+/// \brief Headers of a successful answer to the request on the connection.
+[[nodiscard]] std::string SignedHeaders(const ScriptedServer::Connection& connection);
+
+/// \brief A route for `/r/` that the test changes.
+[[nodiscard]] forward::Route TestRoute(forward::RequestKind kind, std::uint32_t attempts = 1);
+
+}  // namespace wagtailwind::testing
+
+#endif  // WAGTAILWIND_TESTS_SUPPORT_FORWARDER_FIXTURE_H_
--- /dev/null
+++ b/tests/support/scripted_server.cc
@@ -0,0 +1,67 @@
+#include "support/scripted_server.h"
+
+#include <utility>
+
+namespace wagtailwind::testing {
+
+namespace {
+constexpr std::size_t kMaxHeadBytes = 64U << 10U;
+}  // namespace
+
+ScriptedServer::Connection::Connection(ScriptedServer& server, uv_stream_t* listener)
+    : m_server(server),
+      m_stream(new net::TcpStream(server.m_loop, *this)),
+      m_parser(http1::MessageParser::Kind::kRequest, *this, kMaxHeadBytes) {
+  m_stream->Accept(listener);
+  m_stream->StartReading();
+}
+
+void ScriptedServer::Connection::Close() { m_stream.reset(); }
+
+void ScriptedServer::Connection::Reset() {
+  m_stream->ResetOnClose();
+  m_stream.reset();
+}
+
+void ScriptedServer::Connection::OnData(std::string_view data) {
+  while (!data.empty() && m_stream != nullptr) {
+    data.remove_prefix(m_parser.Feed(data));
+    if (m_parser.state() != http1::MessageParser::State::kMessageComplete) {
+      return;
+    }
+    m_parser.Restart();
+    ++requests;
+    ++m_server.requests;
+    m_server.m_handler(*this);
+    body.clear();
+  }
+}
+
+void ScriptedServer::Connection::OnEnd() {
+  ++m_server.client_ends;
+  m_stream.reset();
+}
+
+void ScriptedServer::Connection::OnBroken(std::string_view /*error*/) { OnEnd(); }
+
+bool ScriptedServer::Connection::OnHead(http1::MessageHead message) {
+  head = std::move(message);
+  return true;
+}
+
+ScriptedServer::ScriptedServer(net::EventLoop& loop, Handler handler)
+    : m_loop(loop),
+      m_handler(std::move(handler)),
+      m_listener(loop, "127.0.0.1:0", [this](uv_stream_t* listener) {
+        ++accepted;
+        m_connections.push_back(std::make_unique<Connection>(*this, listener));
+      }) {}
+
+std::string HttpText(int status, std::string_view headers, std::string_view body) {
+  std::string text = "HTTP/1.1 " + std::to_string(status) + " Status\r\n";
+  text.append(headers);
+  text.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n");
+  return text.append(body);
+}
+
+}  // namespace wagtailwind::testing
--- /dev/null
+++ b/tests/unit/forward_endpoint_health_test.cc
@@ -0,0 +1,96 @@
+#include "forward/endpoint_health.h"
+#include "forward/load_estimate.h"
+#include "support/fake_clock.h"
+
+// Last: its macros break the headers of Abseil.
+#include <criterion/criterion.h>
+
+namespace {
+
+using namespace std::chrono_literals;
+using wagtailwind::forward::AttemptFailure;
+using wagtailwind::forward::EndpointHealth;
+using wagtailwind::forward::LoadEstimate;
+using wagtailwind::testing::FakeClock;
+
+}  // namespace
+
+// Guards against a stream of requests into an endpoint that has lost power: it fails none of them
+// before their deadlines.
+Test(endpoint_health, is_silent_when_requests_wait_and_nothing_arrives) {
+  FakeClock clock;
+  EndpointHealth health;
+  health.OnSent(clock.Now());
+  clock.Advance(400ms);
+  cr_assert_not(health.IsSilent(clock.Now()));
+  clock.Advance(200ms);
+  cr_assert(health.IsSilent(clock.Now()));
+  health.OnHeard(clock.Now());
+  cr_assert_not(health.IsSilent(clock.Now()));
+}
+
+// Guards against calling an idle endpoint silent, and against never trying a silent one again.
+Test(endpoint_health, is_tried_again_when_no_request_waits) {
+  FakeClock clock;
+  EndpointHealth health;
+  health.OnSent(clock.Now());
+  health.OnSuccess(clock.Now());
+  clock.Advance(10s);
+  cr_assert_not(health.IsSilent(clock.Now()));
+  health.OnSent(clock.Now());
+  clock.Advance(600ms);
+  health.OnFailure(AttemptFailure::kLost, clock.Now());
+  cr_assert(health.IsSilent(clock.Now()));
+  clock.Advance(1s);
+  cr_assert_not(health.IsSilent(clock.Now()));
+}
+
+// Guards against a second connection timeout for each request while an endpoint is unreachable.
+Test(endpoint_health, is_avoided_for_a_while_after_a_failed_connection) {
+  FakeClock clock;
+  EndpointHealth health;
+  health.OnFailure(AttemptFailure::kNotConnected, clock.Now());
+  cr_assert(health.IsSilent(clock.Now()));
+  clock.Advance(1'100ms);
+  cr_assert_not(health.IsSilent(clock.Now()));
+}
+
+// Guards against an endpoint that fails half of its requests, which opens no breaker, and against a
+// rate that is never forgotten.
+Test(endpoint_health, knows_the_failure_rate_of_recent_requests) {
+  FakeClock clock;
+  EndpointHealth health;
+  for (int i = 0; i < 20; ++i) {
+    health.OnSent(clock.Now());
+    i % 2 == 0 ? health.OnSuccess(clock.Now())
+               : health.OnFailure(AttemptFailure::kAnswered, clock.Now());
+    clock.Advance(50ms);
+  }
+  cr_assert_gt(health.FailureRate(clock.Now()), 0.3);
+  clock.Advance(20s);
+  cr_assert_lt(health.FailureRate(clock.Now()), 0.05);
+}
+
+// Guards against counting this router's requests twice, once as its own and once as reported.
+Test(load_estimate, adds_own_changes_to_what_others_had_at_the_report) {
+  FakeClock clock;
+  LoadEstimate load;
+  load.OnSent();
+  load.OnSent();
+  load.OnReport({.running = 10, .waiting = 1, .slots = 32}, clock.Now());
+  cr_assert_float_eq(load.Requests(clock.Now()), 11, 0.01);
+  load.OnSent();
+  cr_assert_float_eq(load.Requests(clock.Now()), 12, 0.01);
+  load.OnEnded();
+  load.OnEnded();
+  cr_assert_float_eq(load.Requests(clock.Now()), 10, 0.01);
+}
+
+// Guards against an endpoint that stays unused for good because its last report was high.
+Test(load_estimate, forgets_the_requests_of_others) {
+  FakeClock clock;
+  LoadEstimate load;
+  load.OnReport({.running = 30, .waiting = 10, .slots = 32}, clock.Now());
+  clock.Advance(20s);
+  cr_assert_lt(load.Requests(clock.Now()), 1.0);
+}
--- /dev/null
+++ b/tests/unit/forward_endpoint_ranking_test.cc
@@ -0,0 +1,217 @@
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/random_source.h"
+#include "forward/endpoint_ranking.h"
+#include "support/fake_clock.h"
+
+// Last: its macros break the headers of Abseil.
+#include <criterion/criterion.h>
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace wagtailwind;
+using forward::EndpointPtr;
+using forward::Ranking;
+using forward::RankingRequest;
+using forward::SharedPrompt;
+
+constexpr std::uint64_t kLong = 10'000;
+constexpr std::uint64_t kShort = 700;
+
+struct Pool {
+  explicit Pool(int size) {
+    for (int i = 0; i < size; ++i) {
+      Add("engine-" + std::to_string(i), 1h);
+    }
+  }
+
+  EndpointPtr Add(const std::string& name, std::chrono::milliseconds age) {
+    auto endpoint = std::make_shared<forward::Endpoint>();
+    endpoint->record.name = EndpointName(name);
+    endpoint->record.slots = 32;
+    endpoint->record.started_at = clock.WallNow() - age;
+    endpoints.push_back(endpoint);
+    return endpoint;
+  }
+
+  void SetLoad(const EndpointPtr& endpoint, std::uint32_t requests) const {
+    endpoint->load.OnReport({.running = requests, .waiting = 0, .slots = 32}, clock.Now());
+  }
+
+  void SetAllLoads(std::uint32_t requests) const {
+    for (const EndpointPtr& endpoint : endpoints) {
+      SetLoad(endpoint, requests);
+    }
+  }
+
+  Ranking Rank(std::uint64_t key, std::uint64_t tokens = kLong) {
+    RankingRequest request;
+    request.prompt = SharedPrompt{.key = key, .tokens = tokens};
+    request.wall_now = clock.WallNow();
+    return forward::RankEndpoints(endpoints, draining, request, clock.Now(), random, 4);
+  }
+
+  Ranking RankCall() {
+    return forward::RankEndpoints(endpoints, draining, {}, clock.Now(), random, 4);
+  }
+
+  testing::FakeClock clock;
+  SeededRandomSource random{1};
+  std::vector<EndpointPtr> endpoints;
+  std::vector<EndpointPtr> draining;
+};
+
+}  // namespace
+
+// Load pattern: returning chats, each seen by many routers. Guards against routers that send the
+// same prompt to different endpoints, each of which would read it again.
+Test(endpoint_ranking, sends_a_prompt_to_the_same_endpoint_from_every_router) {
+  Pool one(9);
+  Pool other(9);
+  std::reverse(other.endpoints.begin(), other.endpoints.end());
+  for (std::uint64_t key = 0; key < 50; ++key) {
+    const Ranking ranking = one.Rank(key * 7919);
+    cr_assert(ranking.at_home);
+    cr_assert_null(ranking.cached_at.get());
+    cr_assert(ranking.endpoints[0]->record.name ==
+              other.Rank(key * 7919).endpoints[0]->record.name);
+  }
+}
+
+// Load pattern: one prompt gets much of the traffic. Guards against an endpoint that is driven over
+// its bound by a popular prompt, and against reading the prompt where it could be fetched.
+Test(endpoint_ranking, spills_a_popular_prompt_over_and_fetches_its_parts) {
+  Pool pool(9);
+  pool.SetAllLoads(8);
+  const EndpointPtr home = pool.Rank(42).endpoints[0];
+  pool.SetLoad(home, 25);
+  const Ranking ranking = pool.Rank(42);
+  cr_assert_neq(ranking.endpoints[0].get(), home.get());
+  cr_assert_not(ranking.at_home);
+  cr_assert_eq(ranking.cached_at.get(), home.get());
+  // The next router spills to the same endpoint.
+  cr_assert_eq(pool.Rank(42).endpoints[0].get(), ranking.endpoints[0].get());
+}
+
+// Load pattern: many users at once. Guards against long prompts that leave their cached parts for a
+// small imbalance, and against short ones that do not even it out.
+Test(endpoint_ranking, moves_short_prompts_before_long_ones) {
+  Pool pool(9);
+  pool.SetAllLoads(8);
+  const EndpointPtr home = pool.Rank(7).endpoints[0];
+  pool.SetLoad(home, 18);
+  cr_assert_eq(pool.Rank(7, kLong).endpoints[0].get(), home.get());
+  cr_assert_neq(pool.Rank(7, kShort).endpoints[0].get(), home.get());
+}
+
+// Load pattern: empty endpoints are added. Guards against a flood of prompts that have to be read
+// at endpoints without a cache.
+Test(endpoint_ranking, moves_few_prompts_to_new_endpoints) {
+  Pool pool(9);
+  std::map<std::uint64_t, EndpointName> before;
+  for (std::uint64_t key = 1; key <= 200; ++key) {
+    before[key] = pool.Rank(key * 104'729).endpoints[0]->record.name;
+  }
+  pool.Add("new-1", 2s);
+  pool.Add("new-2", 1s);
+  std::size_t moved = 0;
+  for (const auto& [key, name] : before) {
+    moved += pool.Rank(key * 104'729).endpoints[0]->record.name != name ? 1U : 0U;
+  }
+  cr_assert_lt(moved, 15, "%zu of 200 prompts moved", moved);
+}
+
+// Load pattern: a part of the pool crashes and restarts. Guards against the old endpoints taking
+// the whole load, far over the pool's mean.
+Test(endpoint_ranking, gives_new_endpoints_a_share_when_the_old_ones_are_few) {
+  Pool pool(6);
+  for (int i = 0; i < 5; ++i) {
+    pool.Add("new-" + std::to_string(i), 1s);
+  }
+  std::map<std::string, int> homes;
+  constexpr int kKeys = 2'000;
+  for (std::uint64_t key = 1; key <= kKeys; ++key) {
+    ++homes[pool.Rank(key * 104'729).endpoints[0]->record.name.value()];
+  }
+  for (int i = 0; i < 6; ++i) {
+    cr_assert_lt(homes["engine-" + std::to_string(i)], kKeys / 11 * 3 / 2);
+  }
+}
+
+// Load pattern: replicas are replaced one after the other. Guards against reading prompts again
+// that a leaving endpoint still has.
+Test(endpoint_ranking, fetches_from_a_draining_endpoint) {
+  Pool pool(9);
+  const EndpointPtr home = pool.Rank(42).endpoints[0];
+  std::erase(pool.endpoints, home);
+  pool.draining.push_back(home);
+  const Ranking ranking = pool.Rank(42);
+  cr_assert(ranking.at_home);
+  cr_assert_eq(ranking.cached_at.get(), home.get());
+}
+
+// Guards against an endpoint that fails part of its requests while its peers do not, and against
+// leaving the cached parts when all fail alike.
+Test(endpoint_ranking, puts_failing_endpoints_last_unless_the_whole_pool_fails) {
+  Pool pool(9);
+  const EndpointPtr home = pool.Rank(42).endpoints[0];
+  const auto fail_half = [&pool](const EndpointPtr& endpoint) {
+    for (int i = 0; i < 20; ++i) {
+      i % 2 == 0 ? endpoint->health.OnSuccess(pool.clock.Now())
+                 : endpoint->health.OnFailure(forward::AttemptFailure::kAnswered, pool.clock.Now());
+    }
+  };
+  fail_half(home);
+  cr_assert_neq(pool.Rank(42).endpoints[0].get(), home.get());
+  std::for_each(pool.endpoints.begin(), pool.endpoints.end(), fail_half);
+  cr_assert_eq(pool.Rank(42).endpoints[0].get(), home.get());
+}
+
+// Load pattern: calls without a prompt. Guards against queues at one endpoint while another is
+// idle, and against traffic between zones without need.
+Test(endpoint_ranking, sends_calls_to_the_least_loaded_endpoint_and_prefers_the_zone) {
+  Pool pool(3);
+  pool.SetAllLoads(10);
+  pool.SetLoad(pool.endpoints[1], 2);
+  cr_assert_eq(pool.RankCall().endpoints[0].get(), pool.endpoints[1].get());
+  pool.SetAllLoads(3);
+  pool.endpoints[2]->record.zone = AvailabilityZoneName("here");
+  RankingRequest request;
+  request.zone = AvailabilityZoneName("here");
+  for (int i = 0; i < 20; ++i) {
+    const Ranking ranking =
+        forward::RankEndpoints(pool.endpoints, {}, request, pool.clock.Now(), pool.random, 4);
+    cr_assert_eq(ranking.endpoints[0].get(), pool.endpoints[2].get());
+  }
+}
+
+// Guards against requests for a model at endpoints that do not have it, and beyond the connections
+// that an endpoint accepts.
+Test(endpoint_ranking, leaves_out_endpoints_that_cannot_serve_the_request) {
+  Pool pool(3);
+  pool.endpoints[0]->record.models = {ModelName("large")};
+  pool.endpoints[1]->record.models = {ModelName("small")};
+  pool.endpoints[2]->connections = 10;
+  RankingRequest request;
+  request.model = ModelName("large");
+  request.max_connections = 10;
+  const Ranking ranking =
+      forward::RankEndpoints(pool.endpoints, {}, request, pool.clock.Now(), pool.random, 4);
+  cr_assert_eq(ranking.endpoints.size(), 1);
+  cr_assert_eq(ranking.endpoints[0].get(), pool.endpoints[0].get());
+}
+
+// Guards against keys that depend on the part of a single request, or lose a shared part.
+Test(endpoint_ranking, reads_the_shared_parts_of_a_prompt) {
+  const auto one = forward::ParsePrompt("5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+  const auto other = forward::ParsePrompt("5c1e07a2:800,91bd3f06:410,aaaaaaaa:9");
+  cr_assert_eq(one->key, other->key);
+  cr_assert_eq(one->tokens, 1210);
+  cr_assert_neq(one->key, forward::ParsePrompt("5c1e07a2:800,e4402b7d:250")->key);
+  cr_assert_not(forward::ParsePrompt("").has_value());
+}
--- /dev/null
+++ b/tests/unit/forward_endpoint_registry_test.cc
@@ -0,0 +1,111 @@
+#include <string>
+#include <vector>
+
+#include "forward/endpoint_registry.h"
+#include "support/fake_clock.h"
+
+// Last: its macros break the headers of Abseil.
+#include <criterion/criterion.h>
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace wagtailwind;
+using forward::EndpointRecord;
+using forward::EndpointRegistry;
+
+EndpointRecord Record(const std::string& name, bool draining = false, Incarnation incarnation = 1) {
+  EndpointRecord record;
+  record.name = EndpointName(name);
+  record.service = ServiceName("engine");
+  record.address = "127.0.0.1:1000";
+  record.draining = draining;
+  record.incarnation = incarnation;
+  return record;
+}
+
+struct Fixture {
+  testing::FakeClock clock;
+  std::vector<std::string> removed;
+  EndpointRegistry registry{[this](const forward::EndpointPtr& endpoint) {
+    removed.push_back(endpoint->record.name.value());
+  }};
+
+  [[nodiscard]] std::size_t Usable() const { return registry.Usable("engine").size(); }
+};
+
+}  // namespace
+
+// Guards against new work for an endpoint that drains or has left.
+Test(endpoint_registry, takes_draining_and_deleted_endpoints_out_of_use_at_once) {
+  Fixture fixture;
+  fixture.registry.Put(Record("a"));
+  fixture.registry.Put(Record("b"));
+  fixture.registry.Put(Record("a", true));
+  cr_assert_eq(fixture.Usable(), 1);
+  cr_assert_eq(fixture.registry.Draining("engine").size(), 1);
+  fixture.registry.Delete("b", fixture.clock.Now());
+  cr_assert_eq(fixture.Usable(), 0);
+  cr_assert_eq(fixture.removed.size(), 1);
+}
+
+// Guards against an old entry that brings a draining endpoint back into use.
+Test(endpoint_registry, never_uses_a_process_again_that_has_drained) {
+  Fixture fixture;
+  fixture.registry.Put(Record("a", true));
+  fixture.registry.Put(Record("a", false));
+  cr_assert_eq(fixture.Usable(), 0);
+  fixture.registry.Put(Record("a", false, 2));
+  cr_assert_eq(fixture.Usable(), 1);
+}
+
+// Guards against keeping the load and health of a process that has restarted under its name.
+Test(endpoint_registry, starts_anew_with_a_restarted_process) {
+  Fixture fixture;
+  fixture.registry.Put(Record("a"));
+  fixture.registry.Usable("engine")[0]->load.OnSent();
+  fixture.registry.Put(Record("a", false, 2));
+  cr_assert_eq(fixture.registry.Usable("engine")[0]->load.own(), 0);
+  cr_assert_eq(fixture.removed.size(), 1);
+}
+
+// Guards against a fleet without endpoints after an outage of the key-value service, in which all
+// entries lapse, and against using an endpoint for good that did not come back.
+Test(endpoint_registry, keeps_entries_that_lapsed_in_an_outage_until_they_could_be_rewritten) {
+  Fixture fixture;
+  fixture.registry.Put(Record("a"));
+  fixture.registry.Put(Record("b"));
+  fixture.registry.OnServiceLost();
+  fixture.clock.Advance(20s);
+  fixture.registry.Sweep(fixture.clock.Now());
+  cr_assert_eq(fixture.Usable(), 2);
+  fixture.registry.OnServiceRegained(fixture.clock.Now());
+  fixture.registry.Replace({}, fixture.clock.Now());
+  cr_assert_eq(fixture.Usable(), 2);
+  fixture.clock.Advance(1s);
+  fixture.registry.Put(Record("a"));
+  fixture.clock.Advance(2s);
+  fixture.registry.Sweep(fixture.clock.Now());
+  cr_assert_eq(fixture.Usable(), 1);
+  cr_assert_eq(fixture.registry.Usable("engine")[0]->record.name.value(), std::string("a"));
+}
+
+// Guards against the grace of an outage for an endpoint that was known to drain before.
+Test(endpoint_registry, does_not_keep_draining_endpoints_through_an_outage) {
+  Fixture fixture;
+  fixture.registry.Put(Record("a", true));
+  fixture.registry.OnServiceLost();
+  fixture.registry.OnServiceRegained(fixture.clock.Now());
+  fixture.registry.Replace({}, fixture.clock.Now());
+  cr_assert_eq(fixture.registry.Size(), 0);
+}
+
+// Guards against requests to an address that another process has taken over.
+Test(endpoint_registry, stops_using_an_address_at_which_another_process_answers) {
+  Fixture fixture;
+  fixture.registry.Put(Record("a"));
+  fixture.registry.OnOtherProcess(EndpointName("a"));
+  cr_assert_eq(fixture.Usable(), 0);
+  fixture.registry.Put(Record("a"));
+  cr_assert_eq(fixture.Usable(), 0);
+}
--- /dev/null
+++ b/tests/unit/forward_event_framer_test.cc
@@ -0,0 +1,48 @@
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "forward/event_framer.h"
+
+// Last: its macros break the headers of Abseil.
+#include <criterion/criterion.h>
+
+namespace {
+
+using wagtailwind::forward::EventFramer;
+using Events = std::vector<std::pair<std::string, std::optional<std::uint64_t>>>;
+
+void Feed(EventFramer& framer, std::string_view bytes, Events& events) {
+  framer.Feed(bytes, [&events](std::string_view event, std::optional<std::uint64_t> id) {
+    events.emplace_back(std::string(event), id);
+  });
+}
+
+}  // namespace
+
+// Guards against torn events: a caller must get an event whole or not at all, wherever the bytes of
+// the stream are split.
+Test(event_framer, reports_whole_events_at_every_split) {
+  const std::string stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\nid: 4\nda";
+  for (std::size_t split = 0; split <= stream.size(); ++split) {
+    EventFramer framer;
+    Events events;
+    Feed(framer, std::string_view(stream).substr(0, split), events);
+    Feed(framer, std::string_view(stream).substr(split), events);
+    cr_assert_eq(events.size(), 3, "split at %zu", split);
+    cr_assert_eq(events[0].first, std::string("id: 1\ndata: a\n\n"));
+    cr_assert_eq(*events[0].second, 1);
+    cr_assert_eq(*events[1].second, 2);
+    cr_assert_not(events[2].second.has_value());
+    cr_assert_eq(std::string(framer.Rest()), std::string("id: 4\nda"));
+  }
+}
+
+// Guards against resuming from a number that is no id.
+Test(event_framer, takes_only_whole_numbers_as_ids) {
+  cr_assert_not(wagtailwind::forward::EventId("data: id: 7\n\n").has_value());
+  cr_assert_not(wagtailwind::forward::EventId("id: x\n\n").has_value());
+  cr_assert_eq(*wagtailwind::forward::EventId("event: e\nid:12\n\n"), 12);
+}
--- /dev/null
+++ b/tests/unit/forward_path_test.cc
@@ -0,0 +1,352 @@
+#include <string>
+
+#include "http/message.h"
+#include "support/forwarder_fixture.h"
+
+// Last: its macros break the headers of Abseil.
+#include <criterion/criterion.h>
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace wagtailwind;
+using forward::RequestKind;
+using testing::ForwarderFixture;
+using testing::HttpText;
+using testing::ScriptedServer;
+using testing::SignedHeaders;
+using testing::TestRoute;
+
+using Connection = ScriptedServer::Connection;
+
+void AnswerOk(Connection& connection) {
+  connection.Write(HttpText(200, SignedHeaders(connection), "answer"));
+}
+
+void Refuse(Connection& connection) {
+  connection.Write(HttpText(503, SignedHeaders(connection) + "Refused: 1\r\n", ""));
+}
+
+void Fail(Connection& connection) {
+  connection.Write(HttpText(500, SignedHeaders(connection), "failed"));
+}
+
+std::string Chunk(std::string_view text) {
+  char size[32];
+  std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
+  return size + std::string(text) + "\r\n";
+}
+
+std::string Event(int id) {
+  return Chunk("id: " + std::to_string(id) + "\ndata: " + std::to_string(id) + "\n\n");
+}
+
+std::string StreamHead(const Connection& connection) {
+  return "HTTP/1.1 200 OK\r\n" + SignedHeaders(connection) +
+         "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string HeaderOf(const std::vector<http::Header>& headers, std::string_view name) {
+  return std::string(http::FindHeader(headers, name));
+}
+
+/// A forwarder with one endpoint and one route.
+struct Single : ForwarderFixture {
+  Single(forward::Route route, ScriptedServer::Handler handler)
+      : endpoint(AddEndpoint("e1", std::move(handler))) {
+    Configure(std::move(route));
+    Start();
+  }
+
+  ScriptedServer& endpoint;
+};
+
+/// A forwarder with two endpoints; each first sends to the one that the placement prefers.
+struct Pair : ForwarderFixture {
+  Pair(forward::Route route, const ScriptedServer::Handler& first,
+       const ScriptedServer::Handler& later) {
+    const auto handler = [this, first, later](Connection& connection) {
+      ++arrivals;
+      arrivals == 1 ? first(connection) : later(connection);
+    };
+    AddEndpoint("e1", handler);
+    AddEndpoint("e2", handler);
+    Configure(std::move(route));
+    Start();
+  }
+
+  int arrivals = 0;
+};
+
+}  // namespace
+
+// Guards against a request that is changed on the way, a key that leaks to the endpoint, and fields
+// that a caller forges.
+Test(forward_path, forwards_the_request_with_its_own_fields) {
+  http1::MessageHead seen;
+  std::string body;
+  Single fleet(TestRoute(RequestKind::kNonIdempotent), [&](Connection& connection) {
+    seen = connection.head;
+    body = connection.body;
+    AnswerOk(connection);
+  });
+  const auto answer = fleet.Call(
+      "Wait: 700\r\nReserved: forged\r\nOnly: forged\r\nOrganisation: forged\r\n"
+      "Fetch: forged\r\nConnection: X-Hop\r\nX-Hop: 1\r\nX-End: 2\r\n",
+      "hello", "POST");
+  cr_assert(answer->complete);
+  cr_assert_eq(answer->status, 200);
+  cr_assert_eq(answer->body, std::string("answer"));
+  cr_assert_eq(HeaderOf(answer->headers, "Signed"), std::string("yes"));
+  cr_assert_eq(seen.method, std::string("POST"));
+  cr_assert_eq(seen.target, std::string("/r/x?q=1"));
+  cr_assert_eq(body, std::string("hello"));
+  cr_assert_eq(HeaderOf(seen.headers, "Attempt"), std::string("a1"));
+  cr_assert_eq(HeaderOf(seen.headers, "Organisation"), std::string("first"));
+  cr_assert_eq(HeaderOf(seen.headers, "Only"), std::string("e1"));
+  cr_assert_eq(HeaderOf(seen.headers, "X-End"), std::string("2"));
+  for (const char* absent : {"Secret", "Reserved", "X-Hop", "Fetch"}) {
+    cr_assert_eq(HeaderOf(seen.headers, absent), std::string(), "%s", absent);
+  }
+  const int left = std::stoi(HeaderOf(seen.headers, "Wait"));
+  cr_assert(left > 500 && left <= 700);
+}
+
+// Guards against callers without a right, and against refusals that are not final.
+Test(forward_path, refuses_unknown_routes_and_keys) {
+  Single fleet(TestRoute(RequestKind::kIdempotent), AnswerOk);
+  cr_assert_eq(fleet.Call("Secret: key-2\r\n")->status, 401);
+  auto route = TestRoute(RequestKind::kIdempotent);
+  route.prefix = "/other/";
+  fleet.Configure(route);
+  fleet.RunUntil([&] { return fleet.Call()->status == 404; });
+  cr_assert_eq(fleet.Call()->status, 404);
+  cr_assert_eq(fleet.endpoint.requests, 0);
+}
+
+// Guards against accepting a key that may have been revoked while the machine was suspended or the
+// key-value service could not be reached.
+Test(forward_path, refuses_keys_that_were_not_confirmed_for_long) {
+  Single fleet(TestRoute(RequestKind::kIdempotent), AnswerOk);
+  cr_assert_eq(fleet.Call()->status, 200);
+  fleet.store.SetFault(-1);
+  fleet.clock.Suspend(10s);
+  const auto answer = fleet.Call();
+  cr_assert_eq(answer->status, 503);
+  cr_assert_neq(HeaderOf(answer->headers, "Retry-After"), std::string());
+  cr_assert_not(fleet.forwarder->IsReady());
+  cr_assert_eq(fleet.endpoint.requests, 1);
+}
+
+// Guards against a second run of a call that must run once: its endpoint may have run it although
+// the answer was lost.
+Test(forward_path, never_repeats_a_call_that_may_have_run) {
+  Pair fleet(
+      TestRoute(RequestKind::kNonIdempotent, 2), [](Connection& connection) { connection.Reset(); },
+      AnswerOk);
+  const auto answer = fleet.Call("", "order", "POST");
+  cr_assert_eq(answer->status, 502);
+  cr_assert_eq(HeaderOf(answer->headers, "Retry-After"), std::string());
+  cr_assert_eq(fleet.arrivals, 1);
+}
+
+// Guards against giving up a call that may run again, and a refused one that has not run.
+Test(forward_path, repeats_what_may_be_repeated_at_another_endpoint) {
+  for (const auto& first :
+       {ScriptedServer::Handler([](Connection& connection) { connection.Reset(); }),
+        ScriptedServer::Handler(Fail), ScriptedServer::Handler(Refuse)}) {
+    Pair fleet(TestRoute(RequestKind::kIdempotent, 2), first, AnswerOk);
+    cr_assert_eq(fleet.Call()->status, 200);
+    cr_assert_eq(fleet.arrivals, 2);
+  }
+  Pair fleet(TestRoute(RequestKind::kNonIdempotent, 2), Refuse, AnswerOk);
+  cr_assert_eq(fleet.Call("", "order", "POST")->status, 200);
+  cr_assert_eq(fleet.arrivals, 2);
+}
+
+// Guards against more endpoints for one request than its route allows.
+Test(forward_path, sends_a_request_to_no_more_endpoints_than_the_route_allows) {
+  Pair fleet(TestRoute(RequestKind::kIdempotent, 1), Refuse, AnswerOk);
+  const auto answer = fleet.Call();
+  cr_assert_eq(answer->status, 503);
+  cr_assert_neq(HeaderOf(answer->headers, "Retry-After"), std::string());
+  cr_assert_eq(fleet.arrivals, 1);
+}
+
+// Guards against "not run" for a call that has run, and against hiding the endpoint's own failure.
+Test(forward_path, passes_the_failure_of_an_endpoint_on) {
+  Single fleet(TestRoute(RequestKind::kNonIdempotent, 2), Fail);
+  const auto answer = fleet.Call("", "order", "POST");
+  cr_assert_eq(answer->status, 500);
+  cr_assert_eq(answer->body, std::string("failed"));
+  cr_assert_eq(HeaderOf(answer->headers, "Signed"), std::string("yes"));
+}
+
+// Guards against successes that no endpoint has signed or that are not whole.
+Test(forward_path, reports_no_success_without_signature_or_end) {
+  const ScriptedServer::Handler handlers[] = {
+      [](Connection& connection) { connection.Write(HttpText(200, "Attempt: a1\r\n", "forged")); },
+      [](Connection& connection) {
+        connection.Write("HTTP/1.1 200 OK\r\n" + SignedHeaders(connection) +
+                         "Content-Length: 100\r\n\r\nhalf");
+        connection.Close();
+      },
+      [](Connection& connection) {
+        connection.Write("HTTP/1.1 200 OK\r\n" + SignedHeaders(connection) + "\r\nhalf");
+        connection.Reset();
+      },
+      [](Connection& connection) {
+        connection.Write(
+            HttpText(200, SignedHeaders(connection) + "Content-Encoding: gzip\r\n", "x"));
+      },
+      [](Connection& connection) { connection.Write("these bytes are no response\r\n\r\n"); }};
+  for (const auto& handler : handlers) {
+    Single fleet(TestRoute(RequestKind::kNonIdempotent), handler);
+    cr_assert_eq(fleet.Call("", "order", "POST")->status, 502);
+  }
+}
+
+// Guards against the answer to another request: an extra one arrives late on a reused connection.
+Test(forward_path, skips_a_late_answer_to_an_earlier_request) {
+  Single fleet(TestRoute(RequestKind::kIdempotent), [](Connection& connection) {
+    if (connection.requests > 1) {
+      connection.Write(HttpText(200, "Signed: yes\r\nAttempt: earlier\r\n", "wrong"));
+    }
+    connection.Write(
+        HttpText(200, SignedHeaders(connection) + "Keep-Alive: timeout=5\r\n", "right"));
+  });
+  cr_assert_eq(fleet.Call()->body, std::string("right"));
+  cr_assert_eq(fleet.Call()->body, std::string("right"));
+  cr_assert_eq(fleet.endpoint.accepted, 1);
+}
+
+// Guards against an endpoint's address that another process has taken over.
+Test(forward_path, leaves_an_address_at_which_another_process_answers) {
+  Pair fleet(
+      TestRoute(RequestKind::kNonIdempotent, 2),
+      [](Connection& connection) {
+        connection.Write(HttpText(421, SignedHeaders(connection), ""));
+      },
+      AnswerOk);
+  cr_assert_eq(fleet.Call("", "order", "POST")->status, 200);
+  cr_assert_eq(fleet.Call("", "order", "POST")->status, 200);
+  cr_assert_eq(fleet.arrivals, 3);
+}
+
+// Guards against gaps, repeats and torn events when a resumable stream goes on elsewhere.
+Test(forward_path, resumes_a_broken_stream_without_gap_or_repeat) {
+  auto route = TestRoute(RequestKind::kStream, 2);
+  route.resumable = true;
+  std::string last_id;
+  Pair fleet(
+      route,
+      [](Connection& connection) {
+        connection.Write(StreamHead(connection) + Event(1) + Event(2) + "20\r\nid: 3\ndata: to");
+        connection.Reset();
+      },
+      [&last_id](Connection& connection) {
+        last_id = HeaderOf(connection.head.headers, "Last-Event-ID");
+        connection.Write(StreamHead(connection) + Event(2) + Event(3) + Event(4) + "0\r\n\r\n");
+      });
+  const auto answer = fleet.Call();
+  cr_assert(answer->complete);
+  cr_assert_eq(last_id, std::string("2"));
+  cr_assert_eq(answer->body, std::string("id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n"
+                                         "id: 4\ndata: 4\n\n"));
+}
+
+// Guards against a broken stream that looks complete, and against a second run of a stream that may
+// not be resumed.
+Test(forward_path, breaks_off_a_stream_that_may_not_be_resumed) {
+  Pair fleet(
+      TestRoute(RequestKind::kStream, 2),
+      [](Connection& connection) {
+        connection.Write(StreamHead(connection) + Event(1));
+        connection.Reset();
+      },
+      AnswerOk);
+  const auto answer = fleet.Call();
+  cr_assert(answer->broken);
+  cr_assert_not(answer->complete);
+  cr_assert_eq(fleet.arrivals, 1);
+}
+
+// Guards against work that goes on for a caller who has left.
+Test(forward_path, cancels_a_stream_when_its_caller_leaves) {
+  Single fleet(TestRoute(RequestKind::kStream),
+               [](Connection& connection) { connection.Write(StreamHead(connection) + Event(1)); });
+  const auto answer = fleet.Send();
+  cr_assert(fleet.RunUntil([&] { return !answer->body.empty(); }));
+  fleet.DropCallers();
+  cr_assert(fleet.RunUntil([&] { return fleet.endpoint.client_ends == 1; }));
+}
+
+// Guards against callers that wait longer than the operator wants, and against "not run" for a call
+// that an endpoint may be running.
+Test(forward_path, answers_at_the_timeout_of_the_route) {
+  auto route = TestRoute(RequestKind::kNonIdempotent);
+  route.timeout = 150ms;
+  Single fleet(route, [](Connection&) {});
+  const SteadyTime start = fleet.clock.Now();
+  cr_assert_eq(fleet.Call("Wait: 5000\r\n", "order", "POST")->status, 504);
+  const auto taken = fleet.clock.Now() - start;
+  cr_assert(taken >= 140ms && taken < 2s);
+}
+
+// Guards against waiting for an endpoint that hangs while another one could answer.
+Test(forward_path, sends_an_idempotent_call_elsewhere_when_its_endpoint_is_silent) {
+  Pair fleet(
+      TestRoute(RequestKind::kIdempotent, 2), [](Connection&) {}, AnswerOk);
+  cr_assert_eq(fleet.Call()->status, 200);
+  cr_assert_eq(fleet.arrivals, 2);
+}
+
+// Guards against endpoints that stay in use although their entry is gone or says that they drain.
+Test(forward_path, follows_the_list_of_endpoints) {
+  Single fleet(TestRoute(RequestKind::kIdempotent), AnswerOk);
+  cr_assert_eq(fleet.Call()->status, 200);
+  fleet.store.Delete("endpoint/e1");
+  cr_assert(fleet.RunUntil([&] { return fleet.Call()->status == 503; }));
+  cr_assert_eq(fleet.Call()->status, 503);
+}
+
+// Guards against a configuration that goes back to an older version, or one that can't be read.
+Test(forward_path, keeps_the_newest_configuration_that_can_be_read) {
+  Single fleet(TestRoute(RequestKind::kIdempotent), AnswerOk);
+  fleet.store.Put("configuration", "unreadable");
+  fleet.loop.RunFor(50ms);
+  cr_assert_eq(fleet.Call()->status, 200);
+  auto route = TestRoute(RequestKind::kIdempotent);
+  route.prefix = "/new/";
+  fleet.Configure(route);
+  cr_assert(fleet.RunUntil([&] { return fleet.Call()->status == 404; }));
+  fleet.store.Put("configuration", "version-1");
+  fleet.loop.RunFor(50ms);
+  cr_assert_eq(fleet.Call()->status, 404);
+}
+
+// Guards against requests that a planned stop cuts, and against a stop that never ends.
+Test(forward_path, finishes_requests_before_it_stops) {
+  Connection* waiting = nullptr;
+  Single fleet(TestRoute(RequestKind::kNonIdempotent),
+               [&waiting](Connection& connection) { waiting = &connection; });
+  const auto answer = fleet.Send("", "order", "POST");
+  cr_assert(fleet.RunUntil([&] { return waiting != nullptr; }));
+  fleet.forwarder->BeginStop();
+  cr_assert_not(fleet.forwarder->IsReady());
+  fleet.loop.RunFor(50ms);
+  cr_assert_not(fleet.stopped);
+  AnswerOk(*waiting);
+  cr_assert(fleet.RunUntil([&] { return answer->complete; }));
+  cr_assert_eq(answer->status, 200);
+  cr_assert_eq(HeaderOf(answer->headers, "Connection"), std::string("close"));
+  cr_assert(fleet.RunUntil([&] { return fleet.stopped; }));
+}
+
+// Guards against memory that bodies over the limit can fill.
+Test(forward_path, refuses_bodies_over_the_limit) {
+  Single fleet(TestRoute(RequestKind::kNonIdempotent), AnswerOk);
+  const std::string large((4U << 20U) + 1, 'x');
+  cr_assert_eq(fleet.Call("", large, "POST")->status, 413);
+  cr_assert_eq(fleet.endpoint.requests, 0);
+}
--- /dev/null
+++ b/tests/unit/forward_routing_test.cc
@@ -0,0 +1,84 @@
+#include <string>
+#include <utility>
+
+#include "forward/confirmation.h"
+#include "forward/header_rules.h"
+#include "forward/routing.h"
+#include "support/fake_clock.h"
+
+// Last: its macros break the headers of Abseil.
+#include <criterion/criterion.h>
+
+namespace {
+
+using namespace std::chrono_literals;
+using wagtailwind::forward::Route;
+using wagtailwind::forward::RoutingConfiguration;
+
+void Add(RoutingConfiguration& configuration, const std::string& prefix) {
+  Route route;
+  route.name = prefix;
+  route.host = "Shop.example";
+  route.prefix = prefix;
+  configuration.AddRoute(std::move(route));
+}
+
+std::string Find(const RoutingConfiguration& configuration, std::string_view host,
+                 std::string_view path) {
+  const auto route = configuration.FindRoute(host, path);
+  return route ? route->name : "none";
+}
+
+}  // namespace
+
+// Guards against requests that reach the service of a shorter or only similar prefix.
+Test(routing, picks_the_longest_prefix_of_the_host) {
+  RoutingConfiguration configuration;
+  Add(configuration, "/a/");
+  Add(configuration, "/a/b/");
+  cr_assert_eq(Find(configuration, "shop.example", "/a/x"), std::string("/a/"));
+  cr_assert_eq(Find(configuration, "SHOP.example:8080", "/a/b/c/d"), std::string("/a/b/"));
+  cr_assert_eq(Find(configuration, "shop.example.", "/a/b"), std::string("/a/"));
+  cr_assert_eq(Find(configuration, "shop.example", "/ab/"), std::string("none"));
+  cr_assert_eq(Find(configuration, "shop.example", "/a"), std::string("none"));
+  cr_assert_eq(Find(configuration, "other.example", "/a/x"), std::string("none"));
+}
+
+// Guards against a key that counts as valid because the machine slept, or because its confirmation
+// took long to arrive.
+Test(confirmation, ages_from_the_sending_and_through_suspension) {
+  wagtailwind::testing::FakeClock clock;
+  wagtailwind::forward::Confirmation confirmation;
+  cr_assert(confirmation.Age(clock.BootNow()) == std::chrono::nanoseconds::max());
+  const auto sent_at = clock.BootNow();
+  clock.Advance(900ms);
+  confirmation.OnConfirmed(sent_at);
+  cr_assert(confirmation.Age(clock.BootNow()) == 900ms);
+  clock.Suspend(30s);
+  cr_assert(confirmation.Age(clock.BootNow()) == 30'900ms);
+  confirmation.OnConfirmed(sent_at - 1s);
+  cr_assert(confirmation.Age(clock.BootNow()) == 30'900ms);
+}
+
+// Guards against headers of one connection that reach the next one, named or by rule.
+Test(header_rules, drops_the_fields_of_one_connection) {
+  const auto kept = wagtailwind::forward::EndToEndHeaders({{"Connection", "close, X-Hop"},
+                                                           {"x-hop", "1"},
+                                                           {"Keep-Alive", "timeout=5"},
+                                                           {"Transfer-Encoding", "chunked"},
+                                                           {"X-End", "2"}});
+  cr_assert_eq(kept.size(), 1);
+  cr_assert_eq(kept[0].name, std::string("X-End"));
+}
+
+// Guards against numbers read from fields that hold something else.
+Test(header_rules, reads_only_well_formed_fields) {
+  using namespace wagtailwind::forward;
+  cr_assert(*ParseMilliseconds("1500") == 1500ms);
+  cr_assert_not(ParseMilliseconds("-1").has_value());
+  cr_assert_not(ParseMilliseconds("15s").has_value());
+  cr_assert(*KeepAliveTimeout("max=5, timeout=7") == 7s);
+  cr_assert_not(KeepAliveTimeout("max=5").has_value());
+  cr_assert_eq(ParseLoad("3, 1,8")->waiting, 1);
+  cr_assert_not(ParseLoad("3,1").has_value());
+}
--- /dev/null
+++ b/tests/unit/http1_message_parser_test.cc
@@ -0,0 +1,98 @@
+#include <string>
+#include <vector>
+
+#include "http1/message_parser.h"
+
+// Last: its macros break the headers of Abseil.
+#include <criterion/criterion.h>
+
+namespace {
+
+using wagtailwind::http1::MessageHandler;
+using wagtailwind::http1::MessageHead;
+using wagtailwind::http1::MessageParser;
+
+struct Collector final : MessageHandler {
+  [[nodiscard]] bool OnHead(MessageHead message) override {
+    head = std::move(message);
+    return true;
+  }
+  void OnBody(std::string_view part) override { body.append(part); }
+  void OnMessageComplete() override { ++messages; }
+
+  MessageHead head;
+  std::string body;
+  int messages = 0;
+};
+
+MessageParser::State ParseRequest(std::string_view text, std::size_t max_head = 4096) {
+  Collector collector;
+  MessageParser parser(MessageParser::Kind::kRequest, collector, max_head);
+  parser.Feed(text);
+  return parser.state();
+}
+
+}  // namespace
+
+// Guards against a request that hides in the body of another one: a length and chunks, or two
+// lengths, can be read in two ways.
+Test(message_parser, refuses_bodies_whose_length_can_be_read_in_two_ways) {
+  cr_assert_eq(ParseRequest("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+               MessageParser::State::kMalformed);
+  cr_assert_eq(ParseRequest("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+                            "Content-Length: 5\r\n\r\nabcd"),
+               MessageParser::State::kMalformed);
+  cr_assert_eq(ParseRequest("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: +4\r\n\r\nabcd"),
+               MessageParser::State::kMalformed);
+}
+
+// Guards against memory that a caller can fill with one endless head.
+Test(message_parser, stops_at_the_limit_of_the_head) {
+  const std::string head = "GET / HTTP/1.1\r\nLong: " + std::string(5000, 'x');
+  cr_assert_eq(ParseRequest(head, 4096), MessageParser::State::kHeadTooLarge);
+  cr_assert_eq(ParseRequest("GET / HTTP/1.1\r\nShort: x\r\n\r\n", 4096),
+               MessageParser::State::kMessageComplete);
+}
+
+// Guards against reading the next request as part of this one.
+Test(message_parser, stops_behind_each_message) {
+  Collector collector;
+  MessageParser parser(MessageParser::Kind::kRequest, collector, 4096);
+  const std::string text =
+      "POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcGET /b HTTP/1.1\r\n\r\n";
+  const std::size_t used = parser.Feed(text);
+  cr_assert_eq(parser.state(), MessageParser::State::kMessageComplete);
+  cr_assert_eq(collector.body, std::string("abc"));
+  cr_assert_eq(text.substr(used, 6), std::string("GET /b"));
+  parser.Restart();
+  parser.Feed(std::string_view(text).substr(used));
+  cr_assert_eq(collector.messages, 2);
+  cr_assert_eq(collector.head.target, std::string("/b"));
+}
+
+// Guards against loss at any boundary between reads, and against trailers taken for headers.
+Test(message_parser, reads_chunked_messages_byte_by_byte) {
+  Collector collector;
+  MessageParser parser(MessageParser::Kind::kResponse, collector, 4096);
+  const std::string text =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nA: b\r\n\r\n"
+      "3\r\nabc\r\n2\r\nde\r\n0\r\nSigned: forged\r\n\r\n";
+  for (const char byte : text) {
+    parser.Feed({&byte, 1});
+  }
+  cr_assert_eq(parser.state(), MessageParser::State::kMessageComplete);
+  cr_assert_eq(collector.body, std::string("abcde"));
+  cr_assert(collector.head.chunked);
+  cr_assert_eq(collector.head.headers.size(), 2);
+}
+
+// Guards against a body without a length that counts as whole before its connection has ended.
+Test(message_parser, completes_a_body_without_length_only_at_the_end_of_the_connection) {
+  Collector collector;
+  MessageParser parser(MessageParser::Kind::kResponse, collector, 4096);
+  parser.Feed("HTTP/1.1 200 OK\r\n\r\nabc");
+  cr_assert_eq(parser.state(), MessageParser::State::kReading);
+  parser.FeedEnd();
+  cr_assert_eq(parser.state(), MessageParser::State::kMessageComplete);
+}
--- /dev/null
+++ b/tests/unit/platform_record_decoder_test.cc
@@ -0,0 +1,101 @@
+#include <string>
+
+#include "forward/deployment_adapter.h"
+#include "platform/adapter.h"
+#include "platform/record_decoder.h"
+#include "platform/store_codec.h"
+
+// Last: its macros break the headers of Abseil.
+#include <criterion/criterion.h>
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace wagtailwind;
+using forward::MalformedEndpointEntry;
+using forward::RequestKind;
+
+constexpr const char* kEntry =
+    R"({"Service":"s1","Addr":"10.1.2.3:8080","Zone":"z1","Version":"v1","Slots":32,)"
+    R"("State":"ready","ColdLeftMs":0,"Models":[{"Name":"m","Version":1,"Adapters":[]}],)"
+    R"("Seq":4,"born":1700000000000})";
+
+std::string Replaced(std::string text, const std::string& from, const std::string& to) {
+  return text.replace(text.find(from), from.size(), to);
+}
+
+}  // namespace
+
+// Guards against a field of an entry that is lost on the way.
+Test(platform_records, decodes_the_entry_of_a_replica) {
+  const auto record = adapter::DecodeEndpoint("i-1", kEntry);
+  cr_assert_eq(record.name.value(), std::string("i-1"));
+  cr_assert_eq(record.service.value(), std::string("s1"));
+  cr_assert_eq(record.address, std::string("10.1.2.3:8080"));
+  cr_assert_eq(record.slots, 32);
+  cr_assert_not(record.draining);
+  cr_assert_eq(record.incarnation, 1'700'000'000'000U);
+  cr_assert_eq(record.models.size(), 1);
+  cr_assert(adapter::DecodeEndpoint("i-1", Replaced(kEntry, "ready", "draining")).draining);
+}
+
+// Guards against using what another writer has left in the list of replicas.
+Test(platform_records, refuses_entries_that_name_no_replica_to_use) {
+  for (const std::string& text :
+       {std::string("not json"), std::string("[]"), std::string("{}"),
+        Replaced(kEntry, "\"s1\"", "7"), Replaced(kEntry, "32", "\"32\""),
+        Replaced(kEntry, "ready", "resting"), Replaced(kEntry, "10.1.2.3:8080", "somewhere"),
+        Replaced(kEntry, "\"Zone\"", "\"Place\""), Replaced(kEntry, "1700000000000", "1.5")}) {
+    cr_assert_throw((void)adapter::DecodeEndpoint("i-1", text), MalformedEndpointEntry, "%s",
+                    text.c_str());
+  }
+}
+
+// Guards against a route, key or limit that is lost or changed on the way.
+Test(platform_records, decodes_a_configuration) {
+  const auto configuration = adapter::DecodeConfiguration(
+      R"({"Version":7,"Routes":[{"Name":"r1","Host":"h.example","Prefix":"/a/","Kind":"stream",)"
+      R"("TimeoutMs":12000,"SloMs":500,"Prio":1,"Split":[{"Service":"s1","Weight":90},)"
+      R"({"Service":"s2","Weight":10}],"Attempts":2,"Public":false,"Sticky":true,)"
+      R"("Resumable":true,"ItlTargetMs":300},{"Name":"r2","Host":"h.example","Prefix":"/b/",)"
+      R"("Kind":"strange","TimeoutMs":1000,"Service":"s2","Public":true}],)"
+      R"("Services":[{"Name":"s1","MaxConns":460,"Engine":{"Slots":32}},{"Name":"s2"}],)"
+      R"("Limits":{"MaxHeaderBytes":100,"MaxBodyBytes":200,"HeaderTimeoutMs":3,)"
+      R"("IdleTimeoutMs":4},"Tenants":[{"Name":"t1","ApiKeys":["k1","k2"],"Prio":2}]})");
+  cr_assert_eq(configuration->version, 7);
+  const auto stream = configuration->FindRoute("h.example", "/a/x");
+  cr_assert(stream->kind == RequestKind::kStream && stream->IsRepeatable());
+  cr_assert(stream->timeout == 12'000ms && stream->objective == 500ms);
+  cr_assert(stream->max_pause == 300ms && stream->max_attempts == 2 && stream->has_prompt);
+  cr_assert_eq(stream->services[0].weight, 90);
+  const auto other = configuration->FindRoute("h.example", "/b/");
+  cr_assert(other->kind == RequestKind::kNonIdempotent && other->is_public);
+  cr_assert_eq(other->max_attempts, 1);
+  cr_assert(configuration->services.at("s1").shares_cache);
+  cr_assert_not(configuration->services.at("s2").shares_cache);
+  cr_assert_eq(configuration->limits.max_body_bytes, 200);
+  cr_assert(configuration->limits.idle_timeout == 4ms);
+  cr_assert_eq(configuration->FindKey("k2")->organisation.value(), std::string("t1"));
+  cr_assert_eq(configuration->FindKey("k2")->priority, 2);
+  cr_assert_null(configuration->FindKey("k3"));
+  cr_assert_throw((void)adapter::DecodeConfiguration("{\"Version\":1}"),
+                  forward::MalformedConfiguration);
+}
+
+// Guards against reads that miss items, deletions or the way to the next page.
+Test(platform_records, reads_pages_of_the_store) {
+  const adapter::StoreCodec codec;
+  const auto page = codec.DecodeRange(
+      R"({"Items":[{"Key":"k","Value":"bm9kZS0x","Rev":5,"Created":5,"Lease":0}],)"
+      R"("HasMore":true,"StoreRevision":9})");
+  cr_assert(page.has_more && page.revision == 9);
+  cr_assert_eq(page.items[0].value, std::string("node-1"));
+  const auto watch =
+      codec.DecodeWatch(R"({"events":[{"Key":"k","Rev":6,"Deleted":true}],"StoreRevision":10})");
+  cr_assert(watch.changes[0].deleted && watch.changes[0].revision == 6);
+  cr_assert_throw((void)codec.DecodeWatch("{}"), platform::MalformedKeyValueAnswer);
+  cr_assert_throw(
+      (void)codec.DecodeRange(R"({"Items":[{"Key":"k","Value":"%","Rev":5}],"StoreRevision":9})"),
+      platform::MalformedKeyValueAnswer);
+  cr_assert_neq(codec.RangeRequest("a/", "a/b c").find("SinceRev=a/b%20c"), std::string::npos);
+}
