--- a/src/core/clock.h
+++ b/src/core/clock.h
@@ -14,7 +14,6 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
-  static constexpr bool is_steady = true;
 };
 using BootTime = BootClock::time_point;
 
--- a/src/forward/caller_session.cc
+++ b/src/forward/caller_session.cc
@@ -69,23 +69,24 @@
   if (m_phase == Phase::kClosing) {
     return;
   }
-  m_pending.append(data);
-  if (m_phase == Phase::kHandling) {
-    if (m_pending.size() > kMaxPendingBytes) {
-      m_reading_paused = true;
-      m_stream.StopReading();
-    }
+  if (m_phase == Phase::kReading) {
+    Parse(data);
     return;
   }
-  Parse();
+  m_pending.append(data);
+  if (m_pending.size() > kMaxPendingBytes) {
+    m_reading_paused = true;
+    m_stream.StopReading();
+  }
 }
 
-void CallerSession::Parse() {
+void CallerSession::Parse(std::string_view data) {
   const bool began = m_parser.InMessage();
-  if (!began && !m_pending.empty()) {
+  if (!began) {
     m_request.received_at = m_clock.Now();
   }
-  m_pending.erase(0, m_parser.Feed(m_pending));
+  data.remove_prefix(m_parser.Feed(data));
+  m_pending.assign(data);
   switch (m_parser.state()) {
     case http1::MessageParser::State::kHeadTooLarge:
       Refuse(kHeadTooLarge, "head too large");
@@ -243,7 +244,9 @@
   }
   StartReadTimer();
   if (!m_pending.empty()) {
-    Parse();
+    // Freed with the request, as sessions are many and mostly idle.
+    const std::string pending = std::exchange(m_pending, {});
+    Parse(pending);
   }
 }
 
--- a/src/forward/caller_session.h
+++ b/src/forward/caller_session.h
@@ -77,7 +77,8 @@
   void Abort() override;
   [[nodiscard]] std::size_t QueuedBytes() const override { return m_stream.QueuedBytes(); }
 
-  void Parse();
+  /// Reads the next part of a request; keeps what is behind its end.
+  void Parse(std::string_view data);
   void StartTask();
   void Refuse(int status, std::string_view reason);
   void OnTimeout();
