--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -36,6 +36,13 @@
 // The platform allows two seconds until a draining endpoint gets no more requests.
 constexpr std::chrono::milliseconds kEndpointPause = 500ms;
 
+// A watch of the configuration confirms keys, which count as revoked some seconds after the last
+// confirmation; two watches fit into the time in which the router stays ready.
+constexpr std::chrono::milliseconds kConfigurationWatch = 1'400ms;
+
+// A watch of the endpoints confirms nothing and is priced like any call.
+constexpr std::chrono::milliseconds kEndpointWatch = 5'000ms;
+
 }  // namespace
 
 /// \brief Answers readiness checks, metrics and state.
@@ -195,13 +202,15 @@
   m_configuration_feed =
       std::make_unique<PrefixFeed>(loop, clock, random, adapter.Codec(),
                                    FeedSettings{.address = settings.key_value,
-                                                .prefix = std::string(adapter.ConfigurationKey())},
+                                                .prefix = std::string(adapter.ConfigurationKey()),
+                   .watch_time = kConfigurationWatch},
                                    m_configuration_follower);
   m_endpoint_feed =
       std::make_unique<PrefixFeed>(loop, clock, random, adapter.Codec(),
                                    FeedSettings{.address = settings.key_value,
                                                 .prefix = std::string(adapter.EndpointPrefix()),
-                                                .pause_after_change = kEndpointPause},
+                                                .watch_time = kEndpointWatch,
+                   .pause_after_change = kEndpointPause},
                                    m_endpoint_follower);
   m_tick.StartPeriodic(kTickInterval);
 }
--- a/src/forward/prefix_feed.cc
+++ b/src/forward/prefix_feed.cc
@@ -9,14 +9,15 @@
 
 using namespace std::chrono_literals;
 
-// Long enough that watches are rare, short enough that keys, which count as revoked after a few
-// seconds without confirmation, stay valid when one watch fails.
-constexpr std::chrono::milliseconds kWatchTime = 1'400ms;
-
 // The service answers in milliseconds; in a slow phase it takes some hundred.
 constexpr std::chrono::milliseconds kAnswerTimeout = 1'000ms;
 constexpr std::chrono::milliseconds kConnectTimeout = 500ms;
 
+// A waiting watch sends nothing, so only probes tell it from a connection that was cut without a
+// trace. Found within about twice this time, a cut leaves endpoints unknown for less than three
+// seconds.
+constexpr std::chrono::milliseconds kPeerTimeout = 1'200ms;
+
 // The first repetition is immediate, because a kept connection may have been dead for long. Later
 // ones spread over a time that grows up to the last value, so that a fleet does not storm a service
 // that returns.
@@ -49,6 +50,7 @@
   if (!m_connection) {
     m_connection =
         std::make_unique<http1::ClientConnection>(m_loop, m_settings.address, kConnectTimeout);
+    m_connection->SetPeerTimeout(kPeerTimeout);
   }
   m_calling = true;
   m_status = 0;
@@ -62,7 +64,7 @@
     }
     request = m_codec.RangeRequest(m_settings.prefix, m_items.empty() ? "" : m_items.back().key);
   } else {
-    wait = m_confirm_soon ? 1ms : kWatchTime;
+    wait = m_confirm_soon ? 1ms : m_settings.watch_time;
     request = m_codec.WatchRequest(m_settings.prefix, m_after, wait);
   }
   m_timer.Start(wait + kAnswerTimeout);
--- a/src/forward/prefix_feed.h
+++ b/src/forward/prefix_feed.h
@@ -38,14 +38,15 @@
   /// `ip:port` of the key-value service.
   std::string address;
   std::string prefix;
+  /// Longest wait of a watch. Bounds the age of the last confirmation.
+  std::chrono::milliseconds watch_time{1'400};
   /// Pause after a watch that brought changes, so that frequent writes share a call.
   std::chrono::milliseconds pause_after_change{0};
 };
 
 /// \brief Follows the keys with a prefix in the key-value service: a full read, then watches.
 ///
-/// A watch is cut short and repeated, so that a silent connection is noticed, and that the time
-/// of the last confirmation stays young. Reads the whole prefix again when the service has dropped
+/// Connections that have gone silent are found by probes of the transport. Reads the whole prefix again when the service has dropped
 /// the history that a watch needs.
 class PrefixFeed final : private http1::ResponseObserver {
  public:
--- a/src/net/tcp_stream.cc
+++ b/src/net/tcp_stream.cc
@@ -220,6 +220,11 @@
   setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof(milliseconds));
   const unsigned int seconds = std::max(1U, milliseconds / 1000U);
   uv_tcp_keepalive(&m_handle->tcp, 1, seconds);
+  // The system's default of 75 s between probes would outlast every timeout.
+  const int interval = static_cast<int>(seconds);
+  setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
+  constexpr int kProbes = 2;
+  setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof(kProbes));
 }
 
 void TcpStream::ResetOnClose() noexcept { m_handle->reset_on_close = true; }
