Count the grace of lapsed entries from the last failed call, and avoid slow engines

Ruled out: the longer endpoint watch, the removal arrived at once. The grace now counts from the sending of the last call that failed.

--- a/src/forward/configuration_follower.cc
+++ b/src/forward/configuration_follower.cc
@@ -67,7 +67,7 @@
   m_context.metrics.GetCounter("forward_key_value_lost_total{feed=\"configuration\"}").Add();
 }
 
-void ConfigurationFollower::OnFeedRegained() {
+void ConfigurationFollower::OnFeedRegained(SteadyTime /*last_failed*/) {
   Log(kKeyValueRegained, {{"feed", "configuration"}});
 }
 
--- a/src/forward/configuration_follower.h
+++ b/src/forward/configuration_follower.h
@@ -20,7 +20,7 @@
   void OnSnapshot(const std::vector<platform::KeyValueItem>& items, BootTime sent_at) override;
   void OnChanges(const std::vector<platform::KeyValueItem>& changes, BootTime sent_at) override;
   void OnFeedLost(std::string_view reason) override;
-  void OnFeedRegained() override;
+  void OnFeedRegained(SteadyTime last_failed) override;
 
  private:
   /// False if the item is the newest configuration and can't be read.
--- a/src/forward/endpoint.h
+++ b/src/forward/endpoint.h
@@ -9,6 +9,7 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "forward/endpoint_health.h"
+#include "forward/event_pace.h"
 #include "forward/load_estimate.h"
 
 namespace wagtailwind::forward {
@@ -38,6 +39,7 @@
   EndpointRecord record;
   LoadEstimate load;
   EndpointHealth health;
+  EventPace pace;
   /// Connections of this router to the endpoint.
   std::uint32_t connections = 0;
   /// Refused a request for lack of room; no new request before this time.
--- a/src/forward/endpoint_follower.cc
+++ b/src/forward/endpoint_follower.cc
@@ -56,8 +56,8 @@
   m_context.metrics.GetCounter("forward_key_value_lost_total{feed=\"endpoints\"}").Add();
 }
 
-void EndpointFollower::OnFeedRegained() {
-  m_context.endpoints.OnServiceRegained(m_context.clock.Now());
+void EndpointFollower::OnFeedRegained(SteadyTime last_failed) {
+  m_context.endpoints.OnServiceRegained(last_failed);
   Log(kKeyValueRegained, {{"feed", "endpoints"}});
 }
 
--- a/src/forward/endpoint_follower.h
+++ b/src/forward/endpoint_follower.h
@@ -19,7 +19,7 @@
   void OnSnapshot(const std::vector<platform::KeyValueItem>& items, BootTime sent_at) override;
   void OnChanges(const std::vector<platform::KeyValueItem>& changes, BootTime sent_at) override;
   void OnFeedLost(std::string_view reason) override;
-  void OnFeedRegained() override;
+  void OnFeedRegained(SteadyTime last_failed) override;
 
  private:
   /// Empty if the entry names no endpoint to use.
--- a/src/forward/endpoint_ranking.cc
+++ b/src/forward/endpoint_ranking.cc
@@ -39,6 +39,10 @@
 constexpr double kFailureFactor = 1.5;
 constexpr double kExcessFailureRate = 0.2;
 
+// An engine whose events come this many times slower than the median of its pool counts as
+// overloaded. Differences of load alone stay below.
+constexpr double kSlowFactor = 2.0;
+
 // Endpoints that started within this time of the oldest one belong to the same start of the pool.
 constexpr std::chrono::seconds kSameStart{5};
 
@@ -106,6 +110,24 @@
                     kLeastShare, 1.0);
 }
 
+/// Time between events above which an endpoint counts as slow.
+std::chrono::duration<double> SlowPace(std::span<const EndpointPtr> endpoints, SteadyTime now) {
+  std::vector<std::chrono::duration<double>> paces;
+  for (const EndpointPtr& endpoint : endpoints) {
+    if (const auto pace = endpoint->pace.Mean(now)) {
+      paces.push_back(*pace);
+    }
+  }
+  // With fewer, the slow one may be the median itself.
+  constexpr std::size_t kMinPaces = 3;
+  if (paces.size() < kMinPaces) {
+    return std::chrono::duration<double>::max();
+  }
+  const auto middle = paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2);
+  std::nth_element(paces.begin(), middle, paces.end());
+  return kSlowFactor * *middle;
+}
+
 double LoadCost(const Endpoint& endpoint, const RankingRequest& request, double load,
                 RandomSource& random) {
   const double slots = std::max<double>(endpoint.record.slots, 1);
@@ -143,6 +165,7 @@
   const bool is_long = request.prompt && request.prompt->tokens >= kLongPromptTokens;
   const LoadBound& limits = is_long ? kLongPromptBound : kShortPromptBound;
   const double bound = limits.factor * mean + limits.slack;
+  const auto slow_pace = SlowPace(endpoints, now);
   std::vector<Scored> scored;
   scored.reserve(count);
   Holder home;
@@ -167,7 +190,8 @@
         endpoint->health.state() == requests::BreakerState::kOpen || endpoint->full_until > now ||
         endpoint->health.IsSilent(now) ||
         endpoint->health.FailureRate(now) > kFailureFactor * mean_failure_rate + kExcessFailureRate;
-    const bool overloaded = request.prompt && load > bound;
+    const bool slow = endpoint->pace.Mean(now).value_or(slow_pace) > slow_pace;
+    const bool overloaded = request.prompt && (load > bound || slow);
     const int tier = failing ? 2 : overloaded ? 1 : 0;
     const double cost =
         request.prompt && tier == 0 ? -score : LoadCost(*endpoint, request, load, random);
--- a/src/forward/endpoint_registry.cc
+++ b/src/forward/endpoint_registry.cc
@@ -10,7 +10,9 @@
 using namespace std::chrono_literals;
 
 // The platform promises that live endpoints have written their entries again about two seconds
-// after an outage; the rest covers the delay of the watch.
+// after an outage, and it allows three until an endpoint that has left gets no more requests. The
+// time counts from when the service was last known to be away, so that it ends in time also when
+// this router noticed the return late.
 constexpr std::chrono::milliseconds kRewriteTime = 2'500ms;
 
 // A process that starts during an outage has no return of the service to count from.
@@ -67,10 +69,11 @@
     return;
   }
   const bool around_outage =
-      m_service_lost || (m_regained_at != kNever && now - m_regained_at < kRewriteTime);
+      m_service_lost || (m_last_lost != kNever && now - m_last_lost < kRewriteTime);
   if (around_outage && found->second.endpoint->usable) {
     if (!found->second.lapsed_until) {
-      found->second.lapsed_until = (m_service_lost ? now : m_regained_at) + kRewriteTime;
+      found->second.lapsed_until = (m_service_lost ? now : m_last_lost) + kRewriteTime;
+      m_has_lapsed = true;
     }
     return;
   }
@@ -97,23 +100,26 @@
 
 void EndpointRegistry::OnServiceLost() noexcept { m_service_lost = true; }
 
-void EndpointRegistry::OnServiceRegained(SteadyTime now) noexcept {
+void EndpointRegistry::OnServiceRegained(SteadyTime last_lost) noexcept {
   if (m_service_lost) {
     m_service_lost = false;
-    m_regained_at = now;
+    m_last_lost = last_lost;
   }
 }
 
 void EndpointRegistry::Sweep(SteadyTime now) {
-  if (m_service_lost) {
+  if (m_service_lost || !m_has_lapsed) {
     return;
   }
+  m_has_lapsed = false;
   bool changed = false;
   for (auto entry = m_entries.begin(); entry != m_entries.end();) {
     const auto current = entry++;
     if (current->second.lapsed_until && now >= *current->second.lapsed_until) {
       Remove(current);
       changed = true;
+    } else if (current->second.lapsed_until) {
+      m_has_lapsed = true;
     }
   }
   if (changed) {
--- a/src/forward/endpoint_registry.h
+++ b/src/forward/endpoint_registry.h
@@ -34,8 +34,8 @@
   /// \brief The key-value service does not answer this router.
   void OnServiceLost() noexcept;
 
-  /// \brief It answers again.
-  void OnServiceRegained(SteadyTime now) noexcept;
+  /// \brief It answers again; it was still away at `last_lost`.
+  void OnServiceRegained(SteadyTime last_lost) noexcept;
 
   /// \brief Removes endpoints whose entries were not written again in time after an outage.
   void Sweep(SteadyTime now);
@@ -66,7 +66,10 @@
   std::map<std::string, std::vector<EndpointPtr>, std::less<>> m_usable;
   std::map<std::string, std::vector<EndpointPtr>, std::less<>> m_draining;
   bool m_service_lost = false;
-  SteadyTime m_regained_at{};
+  /// When the service was last known to be away.
+  SteadyTime m_last_lost{};
+  /// Whether entries may wait for Sweep().
+  bool m_has_lapsed = false;
 };
 
 }  // namespace wagtailwind::forward
--- a/src/forward/forward_task.cc
+++ b/src/forward/forward_task.cc
@@ -35,8 +35,8 @@
 constexpr std::chrono::milliseconds kMinAnswerPatience = 250ms;
 
 // Silence after which a resumable stream goes on at another endpoint. Callers leave after two
-// seconds at the earliest.
-constexpr std::chrono::milliseconds kFirstEventPatience = 1'500ms;
+// seconds at the earliest, and an engine with room makes its first event within its objective.
+constexpr std::chrono::milliseconds kFirstEventPatience = 700ms;
 constexpr std::chrono::milliseconds kEventPatience = 1'200ms;
 
 // An endpoint without room for a request gets no other one for about the time of a short request.
@@ -210,6 +210,7 @@
 }
 
 bool ForwardTask::FindEndpoints() {
+  m_context.endpoints.Sweep(m_context.clock.Now());
   const std::optional<ServiceName> service = ChooseService();
   if (!service) {
     Refuse(kUnavailable, FailureReason::kNoEndpoint, kRetryWhenNotReady);
@@ -298,6 +299,7 @@
   m_sent = false;
   m_sent_at = now;
   m_kind = AnswerKind::kNone;
+  m_last_event_at.reset();
   m_answer_body.clear();
   m_framer.Reset();
   m_connection = m_context.pool.Acquire(endpoint);
@@ -527,8 +529,13 @@
   if (id && m_last_event_id && *id <= *m_last_event_id) {
     return;
   }
+  const SteadyTime now = m_context.clock.Now();
+  if (m_last_event_at) {
+    m_connection->endpoint->pace.OnGap(now - *m_last_event_at, now);
+  }
+  m_last_event_at = now;
   if (m_events == 0) {
-    m_first_event_at = m_context.clock.Now();
+    m_first_event_at = now;
     m_context.metrics.GetDuration("forward_first_event_seconds")
         .Record(m_first_event_at - m_request.received_at);
   }
--- a/src/forward/forward_task.h
+++ b/src/forward/forward_task.h
@@ -133,6 +133,8 @@
   std::string m_answer_body;
   EventFramer m_framer;
   bool m_reading_paused = false;
+  /// Of this attempt.
+  std::optional<SteadyTime> m_last_event_at;
   /// @}
 
   /// Head of the first endpoint that began a stream, until it has gone to the caller.
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -193,9 +193,15 @@
       m_admin(std::make_unique<AdminHost>(*this)),
       m_tick(loop, [this] { Tick(); }),
       m_stop_timer(loop, [this] { CloseListener(); }) {
-  m_admin_listener = std::make_unique<net::TcpListener>(
-      loop, settings.listen_admin,
-      [this](uv_stream_t* listener) { m_admin->m_sessions.Accept(*m_admin, listener); });
+  const auto accept_admin = [this](uv_stream_t* listener) {
+    m_admin->m_sessions.Accept(*m_admin, listener);
+  };
+  m_admin_listener =
+      std::make_unique<net::TcpListener>(loop, settings.listen_admin, accept_admin);
+  if (!settings.listen_metrics.empty()) {
+    m_metrics_listener =
+        std::make_unique<net::TcpListener>(loop, settings.listen_metrics, accept_admin);
+  }
   m_caller_listener = std::make_unique<net::TcpListener>(
       loop, settings.listen_callers,
       [this](uv_stream_t* listener) { m_callers->m_sessions.Accept(*m_callers, listener); });
@@ -203,14 +209,14 @@
       std::make_unique<PrefixFeed>(loop, clock, random, adapter.Codec(),
                                    FeedSettings{.address = settings.key_value,
                                                 .prefix = std::string(adapter.ConfigurationKey()),
-                   .watch_time = kConfigurationWatch},
+                                                .watch_time = kConfigurationWatch},
                                    m_configuration_follower);
   m_endpoint_feed =
       std::make_unique<PrefixFeed>(loop, clock, random, adapter.Codec(),
                                    FeedSettings{.address = settings.key_value,
                                                 .prefix = std::string(adapter.EndpointPrefix()),
                                                 .watch_time = kEndpointWatch,
-                   .pause_after_change = kEndpointPause},
+                                                .pause_after_change = kEndpointPause},
                                    m_endpoint_follower);
   m_tick.StartPeriodic(kTickInterval);
 }
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -66,6 +66,7 @@
   std::unique_ptr<AdminHost> m_admin;
   std::unique_ptr<net::TcpListener> m_caller_listener;
   std::unique_ptr<net::TcpListener> m_admin_listener;
+  std::unique_ptr<net::TcpListener> m_metrics_listener;
   std::unique_ptr<PrefixFeed> m_configuration_feed;
   std::unique_ptr<PrefixFeed> m_endpoint_feed;
   net::Timer m_tick;
--- a/src/forward/prefix_feed.cc
+++ b/src/forward/prefix_feed.cc
@@ -22,7 +22,7 @@
 // ones spread over a time that grows up to the last value, so that a fleet does not storm a service
 // that returns.
 constexpr std::chrono::milliseconds kFirstBackoff = 100ms;
-constexpr std::chrono::milliseconds kMaxBackoff = 800ms;
+constexpr std::chrono::milliseconds kMaxBackoff = 600ms;
 
 constexpr int kOk = 200;
 constexpr int kGone = 410;
@@ -56,6 +56,7 @@
   m_status = 0;
   m_body.clear();
   m_sent_at = m_clock.BootNow();
+  m_call_began = m_clock.Now();
   std::chrono::milliseconds wait{0};
   std::string request;
   if (m_phase == Phase::kRange) {
@@ -114,7 +115,7 @@
   m_failures = 0;
   if (m_lost) {
     m_lost = false;
-    m_listener.OnFeedRegained();
+    m_listener.OnFeedRegained(m_last_failed);
   }
 }
 
@@ -124,6 +125,7 @@
   m_confirm_soon = true;
   // Pages of an interrupted read may be far apart in time.
   m_items.clear();
+  m_last_failed = m_call_began;
   ++m_failures;
   if (m_failures == 1) {
     CallAfter(0ms);
--- a/src/forward/prefix_feed.h
+++ b/src/forward/prefix_feed.h
@@ -29,8 +29,9 @@
   /// \brief The service does not answer.
   virtual void OnFeedLost(std::string_view reason) = 0;
 
-  /// \brief The service answers again. Comes before what the answer shows.
-  virtual void OnFeedRegained() = 0;
+  /// \brief The service answers again. Comes before what the answer shows. `last_failed` is when
+  /// the last call was sent that failed: the service may have returned at any time since then.
+  virtual void OnFeedRegained(SteadyTime last_failed) = 0;
 };
 
 /// \brief Where and how a feed reads.
@@ -46,8 +47,8 @@
 
 /// \brief Follows the keys with a prefix in the key-value service: a full read, then watches.
 ///
-/// Connections that have gone silent are found by probes of the transport. Reads the whole prefix again when the service has dropped
-/// the history that a watch needs.
+/// Connections that have gone silent are found by probes of the transport. Reads the whole prefix
+/// again when the service has dropped the history that a watch needs.
 class PrefixFeed final : private http1::ResponseObserver {
  public:
   /// \brief All references outlive the feed.
@@ -90,6 +91,8 @@
   int m_status = 0;
   std::string m_body;
   BootTime m_sent_at{};
+  SteadyTime m_call_began{};
+  SteadyTime m_last_failed{};
 
   std::vector<platform::KeyValueItem> m_items;
   BootTime m_snapshot_sent_at{};
--- a/src/settings/forwarder_settings.cc
+++ b/src/settings/forwarder_settings.cc
@@ -35,6 +35,9 @@
   Section listen = root.Child("listen");
   settings.listen_callers = listen.RequiredAddress("callers");
   settings.listen_admin = listen.RequiredAddress("admin");
+  if (listen.Has("metrics")) {
+    settings.listen_metrics = listen.RequiredAddress("metrics");
+  }
   listen.Finish();
   Section platform = root.Child("platform");
   settings.key_value = platform.RequiredAddress("key_value");
--- a/src/settings/forwarder_settings.h
+++ b/src/settings/forwarder_settings.h
@@ -34,6 +34,8 @@
   std::string listen_callers;
   /// Readiness, metrics and state, `ip:port`.
   std::string listen_admin;
+  /// Metrics at an address of their own, `ip:port`; empty: at the address above only.
+  std::string listen_metrics;
   /// The key-value service, `ip:port`.
   std::string key_value;
   ForwarderBounds bounds;
--- a/tests/unit/forward_endpoint_registry_test.cc
+++ b/tests/unit/forward_endpoint_registry_test.cc
@@ -90,6 +90,21 @@
   cr_assert_eq(fixture.registry.Usable("engine")[0]->record.name.value(), std::string("a"));
 }
 
+// Guards against requests to an endpoint that left while this router alone was cut off, beyond the
+// three seconds that the platform allows: the return is noticed late, at the end of a backoff.
+Test(endpoint_registry, counts_the_grace_from_when_the_service_was_last_away) {
+  Fixture fixture;
+  fixture.registry.Put(Record("a"));
+  fixture.registry.OnServiceLost();
+  const SteadyTime last_failed = fixture.clock.Now();
+  fixture.clock.Advance(700ms);
+  fixture.registry.OnServiceRegained(last_failed);
+  fixture.registry.Delete("a", fixture.clock.Now());
+  fixture.clock.Advance(1'900ms);
+  fixture.registry.Sweep(fixture.clock.Now());
+  cr_assert_eq(fixture.Usable(), 0);
+}
+
 // Guards against the grace of an outage for an endpoint that was known to drain before.
 Test(endpoint_registry, does_not_keep_draining_endpoints_through_an_outage) {
   Fixture fixture;
--- a/tests/unit/forward_prefix_feed_test.cc
+++ b/tests/unit/forward_prefix_feed_test.cc
@@ -28,13 +28,17 @@
     confirmed_at = sent_at;
   }
   void OnFeedLost(std::string_view) override { ++lost; }
-  void OnFeedRegained() override { ++regained; }
+  void OnFeedRegained(SteadyTime last_failed) override {
+    ++regained;
+    failed_at = last_failed;
+  }
 
   int snapshots = 0;
   std::size_t last_items = 0;
   std::vector<std::string> keys;
   int lost = 0;
   int regained = 0;
+  SteadyTime failed_at{};
   BootTime confirmed_at{};
 };
 
@@ -90,10 +94,12 @@
   cr_assert(fixture.RunUntil([&] { return fixture.listener.lost == 1; }));
   fixture.store.Put("endpoint/b", "1");
   fixture.store.DropHistory();
+  const SteadyTime returned_at = fixture.clock.Now();
   fixture.store.SetFault(0);
   cr_assert(fixture.RunUntil([&] { return fixture.listener.snapshots == 2; }));
   cr_assert_eq(fixture.listener.last_items, 2);
   cr_assert_eq(fixture.listener.regained, 1);
+  cr_assert(fixture.listener.failed_at <= returned_at);
 }
 
 // Guards against a service that neither answers nor closes, such as a connection that was cut
