--- a/src/cli/command_line.cc
+++ b/src/cli/command_line.cc
@@ -118,6 +118,11 @@
        "                 [--timeout SECONDS]\n"
        "  Waits until a version, by default the newest, is in force at each process.\n"
        "  Example: wagtailwind wait --version 12 --process 127.0.0.1:9100 --timeout 10\n"},
+      {"explain",
+       "wagtailwind explain REQUEST LOGFILE...\n"
+       "  Shows what happened to a request, and what the processes believed (- is standard "
+       "input).\n"
+       "  Example: wagtailwind explain 9c41d07be2a35f68 router-1.log router-2.log\n"},
       {"dump",
        "wagtailwind dump IP:PORT\n  Shows the state of the process at this admin address.\n"
        "  Example: wagtailwind dump 127.0.0.1:9100 --output json\n"}};
--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::array<std::pair<std::string_view, Command>, 11> kCommands{{{"status", &RunStatus},
+constexpr std::array<std::pair<std::string_view, Command>, 12> kCommands{{{"status", &RunStatus},
                                                                           {"get", &RunGet},
                                                                           {"list", &RunList},
                                                                           {"put", &RunPut},
@@ -21,6 +21,7 @@
                                                                           {"drain", &RunDrain},
                                                                           {"undrain", &RunUndrain},
                                                                           {"wait", &RunWait},
+                                                                          {"explain", &RunExplain},
                                                                           {"dump", &RunDump}}};
 
 }  // namespace
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -37,6 +37,7 @@
 ExitCode RunDrain(const CommandLine& line, const ToolEnvironment& environment);
 ExitCode RunUndrain(const CommandLine& line, const ToolEnvironment& environment);
 ExitCode RunWait(const CommandLine& line, const ToolEnvironment& environment);
+ExitCode RunExplain(const CommandLine& line, const ToolEnvironment& environment);
 ExitCode RunDump(const CommandLine& line, const ToolEnvironment& environment);
 
 }  // namespace wagtailwind::cli
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -196,8 +196,7 @@
   const auto accept_admin = [this](uv_stream_t* listener) {
     m_admin->m_sessions.Accept(*m_admin, listener);
   };
-  m_admin_listener =
-      std::make_unique<net::TcpListener>(loop, settings.listen_admin, accept_admin);
+  m_admin_listener = std::make_unique<net::TcpListener>(loop, settings.listen_admin, accept_admin);
   if (!settings.listen_metrics.empty()) {
     m_metrics_listener =
         std::make_unique<net::TcpListener>(loop, settings.listen_metrics, accept_admin);
