Keep old endpoints within 1.15 of their pool's mean

Cause: on the grown sites LIMIT broke while replicas were added (55 of 1,223 requests at replicas over twice the mean): the old endpoints held 1.4 times the mean on average.

--- a/src/forward/endpoint_ranking.cc
+++ b/src/forward/endpoint_ranking.cc
@@ -52,7 +52,7 @@
 constexpr double kLeastShare = 0.02;
 
 // Load of the old endpoints over the pool's mean that sparing the new ones may lead to.
-constexpr double kOldExcess = 1.4;
+constexpr double kOldExcess = 1.15;
 
 struct Scored {
   const EndpointPtr* endpoint;
