--- a/src/cli/request_story.cc
+++ b/src/cli/request_story.cc
@@ -5,6 +5,7 @@
 #include <ctime>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 
 namespace wagtailwind::cli {
@@ -71,10 +72,12 @@
                    [](const LogLine& a, const LogLine& b) { return a.time < b.time; });
   RequestStory story;
   std::map<std::string, std::string> first_times;
+  std::set<std::string> endpoints;
   for (const LogLine& line : lines) {
     if (BelongsTo(line, id)) {
       story.request.push_back(line);
       first_times.try_emplace(line.process, line.time);
+      endpoints.insert(line.fields.value("endpoint", std::string()));
     }
   }
   // By process, event, and the feed or endpoint that an event is about.
@@ -84,8 +87,12 @@
     if (first == first_times.end() || line.time > first->second || !IsBelief(line.name)) {
       continue;
     }
+    const std::string endpoint = line.fields.value("endpoint", std::string());
+    if (!endpoint.empty() && !endpoints.contains(endpoint)) {
+      continue;
+    }
     latest[line.process + "/" + line.name + "/" + line.fields.value("feed", std::string()) + "/" +
-           line.fields.value("endpoint", std::string())] = line;
+           endpoint] = line;
   }
   for (auto& [key, line] : latest) {
     story.beliefs.push_back(std::move(line));
--- a/src/forward/forward_task.cc
+++ b/src/forward/forward_task.cc
@@ -296,6 +296,7 @@
     return false;
   }
   m_attempt = step.attempt;
+  m_last_endpoint = endpoint->record.name;
   m_sent = false;
   m_sent_at = now;
   m_kind = AnswerKind::kNone;
@@ -768,7 +769,7 @@
        {"at_home", m_at_home ? 1 : 0},
        {"fetch_from", m_cached_at ? m_cached_at->record.name.value() : std::string()},
        {"mean_load", m_mean_load},
-       {"endpoint", m_ranked.empty() ? std::string_view() : m_ranked.front()->record.name.value()},
+       {"endpoint", m_last_endpoint.value()},
        {"events", m_events},
        {"first_event_ms",
         m_events == 0 ? -1 : ToMilliseconds(m_first_event_at - m_request.received_at)},
--- a/src/forward/forward_task.h
+++ b/src/forward/forward_task.h
@@ -125,6 +125,7 @@
   /// \name The current attempt
   /// @{
   std::uint32_t m_attempt = 0;
+  EndpointName m_last_endpoint;
   std::optional<EndpointConnection> m_connection;
   bool m_sent = false;
   SteadyTime m_sent_at{};
--- a/src/forward/prefix_feed.cc
+++ b/src/forward/prefix_feed.cc
@@ -9,8 +9,8 @@
 
 using namespace std::chrono_literals;
 
-// The service answers in milliseconds; in a slow phase it takes some hundred.
-constexpr std::chrono::milliseconds kAnswerTimeout = 1'000ms;
+// The service answers in milliseconds; in a slow phase it takes three hundred.
+constexpr std::chrono::milliseconds kAnswerTimeout = 700ms;
 constexpr std::chrono::milliseconds kConnectTimeout = 500ms;
 
 // A waiting watch sends nothing, so only probes tell it from a connection that was cut without a
--- a/tests/support/forwarder_fixture.cc
+++ b/tests/support/forwarder_fixture.cc
@@ -271,7 +271,7 @@
 std::shared_ptr<CallerAnswer> ForwarderFixture::Call(std::string_view headers,
                                                      std::string_view body,
                                                      std::string_view method) {
-  const auto answer = Send(headers, body, method);
+  auto answer = Send(headers, body, method);
   RunUntil([&answer] { return answer->complete || answer->broken; });
   return answer;
 }
--- a/tests/unit/forward_endpoint_ranking_test.cc
+++ b/tests/unit/forward_endpoint_ranking_test.cc
@@ -14,7 +14,7 @@
 namespace {
 
 using namespace std::chrono_literals;
-using namespace wagtailwind;
+using namespace wagtailwind;  // NOLINT(google-build-using-namespace)
 using forward::EndpointPtr;
 using forward::Ranking;
 using forward::RankingRequest;
--- a/tests/unit/forward_endpoint_registry_test.cc
+++ b/tests/unit/forward_endpoint_registry_test.cc
@@ -10,7 +10,7 @@
 namespace {
 
 using namespace std::chrono_literals;
-using namespace wagtailwind;
+using namespace wagtailwind;  // NOLINT(google-build-using-namespace)
 using forward::EndpointRecord;
 using forward::EndpointRegistry;
 
--- a/tests/unit/forward_path_test.cc
+++ b/tests/unit/forward_path_test.cc
@@ -9,7 +9,7 @@
 namespace {
 
 using namespace std::chrono_literals;
-using namespace wagtailwind;
+using namespace wagtailwind;  // NOLINT(google-build-using-namespace)
 using forward::RequestKind;
 using testing::ForwarderFixture;
 using testing::HttpText;
--- a/tests/unit/forward_prefix_feed_test.cc
+++ b/tests/unit/forward_prefix_feed_test.cc
@@ -11,7 +11,7 @@
 namespace {
 
 using namespace std::chrono_literals;
-using namespace wagtailwind;
+using namespace wagtailwind;  // NOLINT(google-build-using-namespace)
 using testing::FakeDeployment;
 using testing::FakeStore;
 
--- a/tests/unit/forward_routing_test.cc
+++ b/tests/unit/forward_routing_test.cc
@@ -73,7 +73,7 @@
 
 // Guards against numbers read from fields that hold something else.
 Test(header_rules, reads_only_well_formed_fields) {
-  using namespace wagtailwind::forward;
+  using namespace wagtailwind::forward;  // NOLINT(google-build-using-namespace)
   cr_assert(*ParseMilliseconds("1500") == 1500ms);
   cr_assert_not(ParseMilliseconds("-1").has_value());
   cr_assert_not(ParseMilliseconds("15s").has_value());
