--- a/src/cli/request_story.cc
+++ b/src/cli/request_story.cc
@@ -52,6 +52,31 @@
   return line.fields.contains("id") && line.fields["id"] == id;
 }
 
+bool IsEnd(std::string_view name) {
+  return name == "request_forwarded" || name == "request_refused" || name == "caller_left";
+}
+
+/// A process that ended in the middle of the request left no line of its end; its next start tells.
+void AddRestarts(const std::vector<LogLine>& lines, RequestStory& story) {
+  std::map<std::string, std::string> unfinished;
+  for (const LogLine& line : story.request) {
+    unfinished[line.process] = line.time;
+  }
+  for (const LogLine& line : story.request) {
+    if (IsEnd(line.name)) {
+      unfinished.erase(line.process);
+    }
+  }
+  for (const LogLine& line : lines) {
+    const auto found = unfinished.find(line.process);
+    if (found != unfinished.end() && line.name == "forwarder_started" &&
+        line.time > found->second) {
+      story.request.push_back(line);
+      unfinished.erase(found);
+    }
+  }
+}
+
 }  // namespace
 
 std::vector<LogLine> ReadLogLines(std::istream& input, std::size_t& unreadable) {
@@ -80,6 +105,7 @@
       endpoints.insert(line.fields.value("endpoint", std::string()));
     }
   }
+  AddRestarts(lines, story);
   // By process, event, and the feed or endpoint that an event is about.
   std::map<std::string, LogLine> latest;
   for (const LogLine& line : lines) {
--- a/src/daemon/forwarder_main.cc
+++ b/src/daemon/forwarder_main.cc
@@ -68,8 +68,9 @@
   timespec m_changed;
 };
 
-void FlushLog(std::uint64_t& reported) {
+void FlushLog(std::uint64_t& reported, wagtailwind::Gauge& dropped_lines) {
   const std::uint64_t dropped = wagtailwind::DroppedLogLines();
+  dropped_lines.Set(static_cast<double>(dropped));
   if (dropped > reported) {
     Log(wagtailwind::forward::kLinesDropped, {{"lines", dropped - reported}});
     reported = dropped;
@@ -95,7 +96,8 @@
     const net::SignalWatcher interrupt(loop, SIGINT, [&forwarder] { forwarder.BeginStop(); });
     const net::SignalWatcher hang_up(loop, SIGHUP, [&watcher] { watcher.Reload(); });
     std::uint64_t reported = 0;
-    net::Timer flush(loop, [&reported] { FlushLog(reported); });
+    wagtailwind::Gauge& dropped_lines = metrics.GetGauge("log_lines_dropped");
+    net::Timer flush(loop, [&reported, &dropped_lines] { FlushLog(reported, dropped_lines); });
     flush.StartPeriodic(kLogFlushInterval);
     net::Timer check(loop, [&watcher] { watcher.Check(); });
     check.StartPeriodic(kSettingsCheckInterval);
--- a/src/forward/confirmation.h
+++ b/src/forward/confirmation.h
@@ -2,6 +2,7 @@
 #define WAGTAILWIND_FORWARD_CONFIRMATION_H_
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 
 #include "core/clock.h"
@@ -26,6 +27,14 @@
     return m_confirmed_at ? now - *m_confirmed_at : std::chrono::nanoseconds::max();
   }
 
+  /// \brief The same in milliseconds, for logs and metrics; empty if there was none.
+  [[nodiscard]] std::optional<std::int64_t> AgeMilliseconds(BootTime now) const noexcept {
+    if (!m_confirmed_at) {
+      return std::nullopt;
+    }
+    return std::chrono::duration_cast<std::chrono::milliseconds>(Age(now)).count();
+  }
+
  private:
   std::optional<BootTime> m_confirmed_at;
 };
--- a/src/forward/forward_task.cc
+++ b/src/forward/forward_task.cc
@@ -317,6 +317,8 @@
                         {"attempt", step.attempt},
                         {"endpoint", endpoint->record.name.value()},
                         {"load", endpoint->load.Requests(now)},
+                        {"mean_load", m_mean_load},
+                        {"at_home", m_at_home ? 1 : 0},
                         {"reused", m_connection->reused ? 1 : 0}});
   m_connection->connection->Send(RequestText(endpoint), m_request.head.method == "HEAD", *this);
   WatchForSilence();
@@ -379,6 +381,11 @@
   }
 }
 
+void ForwardTask::CountAttempt(std::string_view result) {
+  m_context.metrics.GetCounter("forward_attempts_total{result=\"" + std::string(result) + "\"}")
+      .Add();
+}
+
 void ForwardTask::LoseAttempt(FailureReason reason, std::string_view detail) {
   const EndpointPtr endpoint = m_connection->endpoint;
   Log(kAttemptFailed, {{"id", m_id},
@@ -389,6 +396,7 @@
                        {"sent", m_sent ? 1 : 0},
                        {"events", m_events},
                        {"after_ms", ToMilliseconds(m_context.clock.Now() - m_sent_at)}});
+  CountAttempt("lost");
   endpoint->health.OnFailure(AttemptFailure::kLost, m_context.clock.Now());
   EndAttempt();
   Follow(m_decision->OnLost(m_attempt, reason));
@@ -533,6 +541,7 @@
   const SteadyTime now = m_context.clock.Now();
   if (m_last_event_at) {
     m_connection->endpoint->pace.OnGap(now - *m_last_event_at, now);
+    m_context.metrics.GetDuration("forward_event_gap_seconds").Record(now - *m_last_event_at);
   }
   m_last_event_at = now;
   if (m_events == 0) {
@@ -580,15 +589,18 @@
   switch (m_kind) {
     case AnswerKind::kWhole:
     case AnswerKind::kEvents:
+      CountAttempt("answered");
       endpoint->health.OnSuccess(now);
       FinishAnswer();
       return;
     case AnswerKind::kOtherProcess:
+      CountAttempt("other_process");
       endpoint->health.OnNeutral();
       m_context.endpoints.OnOtherProcess(endpoint->record.name);
       Follow(m_decision->OnRefused(m_attempt, {.reason = FailureReason::kDraining}));
       return;
     case AnswerKind::kRefusal:
+      CountAttempt("refused");
       endpoint->health.OnNeutral();
       endpoint->full_until = now + kFullTime;
       Log(kAttemptFailed, {{"id", m_id},
@@ -603,6 +615,7 @@
       Follow(m_decision->OnRefused(m_attempt, {.reason = FailureReason::kOverBound}));
       return;
     case AnswerKind::kFailure:
+      CountAttempt("failed");
       if (m_answer_head.status < kServerErrorFirst) {
         endpoint->health.OnSuccess(now);
         m_failure.emplace(std::move(m_answer_head), std::move(m_answer_body));
@@ -620,6 +633,7 @@
       return;
     case AnswerKind::kInvalid:
     case AnswerKind::kNone:
+      CountAttempt("invalid");
       endpoint->health.OnFailure(AttemptFailure::kAnswered, now);
       Log(kAttemptFailed, {{"id", m_id},
                            {"attempt", m_attempt},
@@ -647,6 +661,7 @@
                          {"endpoint", endpoint->record.name.value()},
                          {"reason", http1::ToText(end)},
                          {"detail", detail}});
+    CountAttempt("not_connected");
     endpoint->health.OnFailure(AttemptFailure::kNotConnected, m_context.clock.Now());
     EndAttempt();
     Follow(m_decision->OnNotHandedOver(m_attempt));
@@ -754,7 +769,6 @@
   const SteadyTime now = m_context.clock.Now();
   const auto duration = now - m_request.received_at;
   const bool forwarded = m_decision && m_decision->attempts() > 0;
-  const auto age = m_context.confirmation.Age(m_context.clock.BootNow());
   Log(forwarded ? kRequestForwarded : kRequestRefused,
       {{"id", m_id},
        {"route", m_route ? std::string_view(m_route->name) : std::string_view()},
@@ -766,16 +780,15 @@
        {"attempts", m_decision ? m_decision->attempts() : 0},
        {"prompt", m_prompt.key},
        {"prompt_tokens", m_prompt.tokens},
-       {"at_home", m_at_home ? 1 : 0},
        {"fetch_from", m_cached_at ? m_cached_at->record.name.value() : std::string()},
-       {"mean_load", m_mean_load},
        {"endpoint", m_last_endpoint.value()},
        {"events", m_events},
        {"first_event_ms",
         m_events == 0 ? -1 : ToMilliseconds(m_first_event_at - m_request.received_at)},
        {"duration_ms", ToMilliseconds(duration)},
        {"configuration", m_configuration ? m_configuration->version : 0},
-       {"confirmed_ms", age == std::chrono::nanoseconds::max() ? -1 : ToMilliseconds(age)}});
+       {"confirmed_ms",
+        m_context.confirmation.AgeMilliseconds(m_context.clock.BootNow()).value_or(-1)}});
   m_context.metrics
       .GetCounter(std::string("forward_requests_total{status=\"") + std::to_string(status) +
                   "\",reason=\"" + std::string(requests::ToText(reason)) + "\"}")
--- a/src/forward/forward_task.h
+++ b/src/forward/forward_task.h
@@ -66,6 +66,7 @@
   void EndAttempt();
   /// Ends an attempt for a reason that is not the endpoint's.
   void DropAttempt();
+  void CountAttempt(std::string_view result);
   void LoseAttempt(requests::FailureReason reason, std::string_view detail);
   void OnSilence();
   void WatchForSilence();
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -141,6 +141,8 @@
     m_forwarder.m_context.metrics.GetCounter("forward_unread_requests_total").Add();
   }
 
+  [[nodiscard]] std::size_t BodyBytes() const noexcept { return m_body_bytes; }
+
   [[nodiscard]] bool IsEmpty() const noexcept {
     return m_sessions.Size() == 0 && m_adopted.empty();
   }
@@ -205,14 +207,16 @@
       loop, settings.listen_callers,
       [this](uv_stream_t* listener) { m_callers->m_sessions.Accept(*m_callers, listener); });
   m_configuration_feed =
-      std::make_unique<PrefixFeed>(loop, clock, random, adapter.Codec(),
-                                   FeedSettings{.address = settings.key_value,
+      std::make_unique<PrefixFeed>(loop, clock, random, adapter.Codec(), metrics,
+                                   FeedSettings{.name = "configuration",
+                                                .address = settings.key_value,
                                                 .prefix = std::string(adapter.ConfigurationKey()),
                                                 .watch_time = kConfigurationWatch},
                                    m_configuration_follower);
   m_endpoint_feed =
-      std::make_unique<PrefixFeed>(loop, clock, random, adapter.Codec(),
-                                   FeedSettings{.address = settings.key_value,
+      std::make_unique<PrefixFeed>(loop, clock, random, adapter.Codec(), metrics,
+                                   FeedSettings{.name = "endpoints",
+                                                .address = settings.key_value,
                                                 .prefix = std::string(adapter.EndpointPrefix()),
                                                 .watch_time = kEndpointWatch,
                                                 .pause_after_change = kEndpointPause},
@@ -232,28 +236,37 @@
 void Forwarder::Tick() {
   m_context.pool.Sweep();
   m_context.endpoints.Sweep(m_context.clock.Now());
+  UpdateGauges();
   const bool ready = IsReady();
   if (ready != std::exchange(m_was_ready, ready)) {
-    const auto age = m_context.confirmation.Age(m_context.clock.BootNow());
     Log(kReadinessChanged,
         {{"ready", ready ? 1 : 0},
          {"stopping", m_stopping ? 1 : 0},
          {"configuration", m_context.configuration ? m_context.configuration->version : 0},
          {"endpoints", m_context.endpoints.Size()},
          {"confirmed_ms",
-          age == std::chrono::nanoseconds::max()
-              ? -1
-              : std::chrono::duration_cast<std::chrono::milliseconds>(age).count()}});
+          m_context.confirmation.AgeMilliseconds(m_context.clock.BootNow()).value_or(-1)}});
   }
-  m_context.metrics.GetGauge("forward_idle_connections")
-      .Set(static_cast<double>(m_context.pool.IdleCount()));
-  m_context.metrics.GetGauge("forward_sessions")
-      .Set(static_cast<double>(m_callers->m_sessions.Size()));
-  m_context.metrics.GetGauge("forward_endpoints")
-      .Set(static_cast<double>(m_context.endpoints.Size()));
   CheckStopped();
 }
 
+void Forwarder::UpdateGauges() {
+  MetricsRegistry& metrics = m_context.metrics;
+  const auto set = [&metrics](std::string_view name, std::size_t value) {
+    metrics.GetGauge(name).Set(static_cast<double>(value));
+  };
+  set("forward_ready", IsReady() ? 1 : 0);
+  set("forward_idle_connections", m_context.pool.IdleCount());
+  set("forward_sessions", m_callers->m_sessions.Size());
+  set("forward_endpoints", m_context.endpoints.Size());
+  set("forward_body_bytes", m_callers->BodyBytes());
+  if (const auto age = m_context.confirmation.AgeMilliseconds(m_context.clock.BootNow())) {
+    constexpr double kMillisecondsPerSecond = 1000;
+    metrics.GetGauge("forward_confirmation_age_seconds")
+        .Set(static_cast<double>(*age) / kMillisecondsPerSecond);
+  }
+}
+
 void Forwarder::BeginStop() {
   if (std::exchange(m_stopping, true)) {
     return;
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -51,6 +51,7 @@
   class AdminHost;
 
   void Tick();
+  void UpdateGauges();
   void CloseListener();
   void ForceStop();
   void CheckStopped();
--- a/src/forward/log_events.h
+++ b/src/forward/log_events.h
@@ -13,7 +13,7 @@
 inline constexpr LogEvent kRequestForwarded{2210, LogLevel::kInfo, "request_forwarded"};
 inline constexpr LogEvent kRequestRefused{2211, LogLevel::kInfo, "request_refused"};
 inline constexpr LogEvent kRequestUnread{2212, LogLevel::kInfo, "request_unread"};
-inline constexpr LogEvent kAttemptStarted{2213, LogLevel::kDebug, "attempt_started"};
+inline constexpr LogEvent kAttemptStarted{2213, LogLevel::kInfo, "attempt_started"};
 inline constexpr LogEvent kAttemptFailed{2214, LogLevel::kInfo, "attempt_failed"};
 inline constexpr LogEvent kRetryDecided{2215, LogLevel::kInfo, "retry_decided"};
 inline constexpr LogEvent kAnswerSkipped{2216, LogLevel::kWarn, "answer_skipped"};
--- a/src/forward/prefix_feed.cc
+++ b/src/forward/prefix_feed.cc
@@ -30,12 +30,13 @@
 }  // namespace
 
 PrefixFeed::PrefixFeed(net::EventLoop& loop, const Clock& clock, RandomSource& random,
-                       const platform::KeyValueCodec& codec, FeedSettings settings,
-                       FeedListener& listener)
+                       const platform::KeyValueCodec& codec, MetricsRegistry& metrics,
+                       FeedSettings settings, FeedListener& listener)
     : m_loop(loop),
       m_clock(clock),
       m_random(random),
       m_codec(codec),
+      m_metrics(metrics),
       m_settings(std::move(settings)),
       m_listener(listener),
       m_timer(loop, [this] { m_calling ? Failed("no answer in time") : Call(); }) {
@@ -111,7 +112,16 @@
   Failed(std::string(http1::ToText(end)) + ": " + std::string(detail));
 }
 
+void PrefixFeed::Count(std::string_view result) {
+  m_metrics
+      .GetCounter("forward_key_value_calls_total{feed=\"" + m_settings.name + "\",kind=\"" +
+                  (m_phase == Phase::kRange ? "range" : "watch") + "\",result=\"" +
+                  std::string(result) + "\"}")
+      .Add();
+}
+
 void PrefixFeed::Succeeded() {
+  Count("answered");
   m_failures = 0;
   if (m_lost) {
     m_lost = false;
@@ -120,6 +130,7 @@
 }
 
 void PrefixFeed::Failed(std::string_view reason) {
+  Count("failed");
   m_calling = false;
   m_connection.reset();
   m_confirm_soon = true;
--- a/src/forward/prefix_feed.h
+++ b/src/forward/prefix_feed.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/clock.h"
+#include "core/metrics.h"
 #include "core/random_source.h"
 #include "http1/client_connection.h"
 #include "net/event_loop.h"
@@ -36,6 +37,8 @@
 
 /// \brief Where and how a feed reads.
 struct FeedSettings {
+  /// Names the feed in metrics.
+  std::string name;
   /// `ip:port` of the key-value service.
   std::string address;
   std::string prefix;
@@ -53,7 +56,8 @@
  public:
   /// \brief All references outlive the feed.
   PrefixFeed(net::EventLoop& loop, const Clock& clock, RandomSource& random,
-             const platform::KeyValueCodec& codec, FeedSettings settings, FeedListener& listener);
+             const platform::KeyValueCodec& codec, MetricsRegistry& metrics, FeedSettings settings,
+             FeedListener& listener);
   ~PrefixFeed() override;
 
   PrefixFeed(const PrefixFeed&) = delete;
@@ -66,6 +70,7 @@
 
   void Call();
   void CallAfter(std::chrono::milliseconds delay);
+  void Count(std::string_view result);
   void Succeeded();
   void Failed(std::string_view reason);
   void FinishRange();
@@ -81,6 +86,7 @@
   const Clock& m_clock;
   RandomSource& m_random;
   const platform::KeyValueCodec& m_codec;
+  MetricsRegistry& m_metrics;
   const FeedSettings m_settings;
   FeedListener& m_listener;
 
--- a/tests/unit/cli_explain_test.cc
+++ b/tests/unit/cli_explain_test.cc
@@ -56,6 +56,18 @@
   cr_assert_eq(story.beliefs[1].name, std::string("key_value_lost"));
 }
 
+// Guards against a story without an end when a router was killed in the middle of the request.
+Test(explain, shows_the_restart_of_a_process_that_ended_in_between) {
+  std::size_t unreadable = 0;
+  const RequestStory story = Read(Line("00.100", "r1", "forwarder_started", "") +
+                                      Line("01.000", "r1", "attempt_started", R"("id":"a1")") +
+                                      Line("02.000", "r1", "forwarder_started", "") +
+                                      Line("03.000", "r1", "forwarder_started", ""),
+                                  unreadable);
+  cr_assert_eq(story.request.size(), 2);
+  cr_assert_eq(story.request[1].time, std::string("2026-12-04T10:00:02.000Z"));
+}
+
 // Guards against ages that are wrong across a minute or a day.
 Test(explain, measures_the_time_between_lines) {
   cr_assert_eq(
--- a/tests/unit/forward_prefix_feed_test.cc
+++ b/tests/unit/forward_prefix_feed_test.cc
@@ -46,6 +46,7 @@
   net::EventLoop loop;
   testing::ShiftedClock clock;
   SeededRandomSource random{3};
+  MetricsRegistry metrics;
   FakeDeployment deployment;
   FakeStore store{loop};
   Listener listener;
@@ -53,8 +54,9 @@
 
   void Start() {
     feed = std::make_unique<forward::PrefixFeed>(
-        loop, clock, random, deployment,
-        forward::FeedSettings{.address = store.Address(), .prefix = "endpoint/"}, listener);
+        loop, clock, random, deployment, metrics,
+        forward::FeedSettings{.name = "test", .address = store.Address(), .prefix = "endpoint/"},
+        listener);
   }
 
   template <typename Condition>
