--- a/src/forward/forward_context.cc
+++ b/src/forward/forward_context.cc
@@ -1,5 +1,7 @@
 #include "forward/forward_context.h"
 
+#include <algorithm>
+
 namespace wagtailwind::forward {
 
 namespace {
@@ -12,8 +14,19 @@
 // larger deployment of today.
 constexpr double kRoutersSharingSlack = 16;
 
+// Part of the time after which keys are refused, up to which a confirmation counts as young. Two
+// watches of the configuration fit in, so one that is waiting does not make a router look stale.
+constexpr double kYoungShare = 0.6;
+
 }  // namespace
 
+bool ForwardContext::IsConfirmed() const noexcept {
+  const auto young =
+      std::chrono::duration_cast<std::chrono::nanoseconds>(bounds.key_revocation * kYoungShare);
+  return confirmation.Age(clock.BootNow()) <=
+         std::max<std::chrono::nanoseconds>(young, bounds.configuration);
+}
+
 requests::RetryBudget& ForwardContext::RetryBudgetOf(const ServiceName& service) {
   const requests::RetryBudgetSettings settings{
       .tokens_per_request = bounds.retry_ratio * kUsedRatio,
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -41,6 +41,10 @@
   /// By service.
   std::map<std::string, requests::RetryBudget, std::less<>> retry_budgets;
 
+  /// \brief Whether the configuration was confirmed to be the newest not long ago. Then unknown
+  /// routes and keys can be refused for good, and callers are served well here.
+  [[nodiscard]] bool IsConfirmed() const noexcept;
+
   /// \brief The budget of a service; created at its first request.
   [[nodiscard]] requests::RetryBudget& RetryBudgetOf(const ServiceName& service);
 };
--- a/src/forward/forward_task.cc
+++ b/src/forward/forward_task.cc
@@ -138,12 +138,7 @@
     m_priority = m_route->priority;
     return true;
   }
-  // A newer configuration that has not arrived may have the route.
-  if (m_context.confirmation.Age(m_context.clock.BootNow()) > m_context.bounds.configuration) {
-    Refuse(kUnavailable, FailureReason::kNotReady, kRetryWhenNotReady);
-  } else {
-    Refuse(requests::HttpStatus(FailureReason::kUnknownRoute), FailureReason::kUnknownRoute);
-  }
+  RefuseUnknown(FailureReason::kUnknownRoute);
   return false;
 }
 
@@ -156,16 +151,12 @@
   const KeyHolder* holder = CountHeaders(headers, field) == 1
                                 ? m_configuration->FindKey(http::FindHeader(headers, field))
                                 : nullptr;
-  const auto age = m_context.confirmation.Age(m_context.clock.BootNow());
   if (holder == nullptr) {
-    if (age > m_context.bounds.configuration) {
-      Refuse(kUnavailable, FailureReason::kNotReady, kRetryWhenNotReady);
-    } else {
-      Refuse(requests::HttpStatus(FailureReason::kUnknownApiKey), FailureReason::kUnknownApiKey);
-    }
+    RefuseUnknown(FailureReason::kUnknownApiKey);
     return false;
   }
-  if (age > m_context.bounds.key_revocation - kRevocationMargin) {
+  if (m_context.confirmation.Age(m_context.clock.BootNow()) >
+      m_context.bounds.key_revocation - kRevocationMargin) {
     Refuse(kUnavailable, FailureReason::kApiKeyNotConfirmed, kRetryWhenNotConfirmed);
     return false;
   }
@@ -176,6 +167,15 @@
   return true;
 }
 
+void ForwardTask::RefuseUnknown(FailureReason reason) {
+  // A newer configuration that has not arrived may know it.
+  if (m_context.IsConfirmed()) {
+    Refuse(requests::HttpStatus(reason), reason);
+  } else {
+    Refuse(kUnavailable, FailureReason::kNotReady, kRetryWhenNotReady);
+  }
+}
+
 void ForwardTask::ReadDeadline() {
   const auto asked =
       ParseMilliseconds(http::FindHeader(m_request.head.headers, m_context.names.deadline));
--- a/src/forward/forward_task.h
+++ b/src/forward/forward_task.h
@@ -53,6 +53,8 @@
   /// @{
   [[nodiscard]] bool FindRoute();
   [[nodiscard]] bool CheckKey();
+  /// Refuses an unknown route or key: for good, or for now if the configuration may be old.
+  void RefuseUnknown(requests::FailureReason reason);
   [[nodiscard]] bool FindEndpoints();
   void ReadDeadline();
   [[nodiscard]] std::optional<ServiceName> ChooseService() const;
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -25,10 +25,6 @@
 // Interval of upkeep: idle connections, lapsed endpoints, readiness.
 constexpr std::chrono::milliseconds kTickInterval = 250ms;
 
-// Age of the last confirmation above which callers are better served elsewhere: three fifths of
-// the time after which keys are refused.
-constexpr double kReadyShare = 0.6;
-
 // Share of the memory that bodies of requests may take.
 constexpr std::uint64_t kBodyMemoryShare = 4;
 
@@ -227,10 +223,8 @@
 Forwarder::~Forwarder() = default;
 
 bool Forwarder::IsReady() const {
-  const auto limit = std::chrono::duration_cast<std::chrono::nanoseconds>(
-      m_context.bounds.key_revocation * kReadyShare);
   return !m_stopping && m_context.configuration && m_context.endpoints_known &&
-         m_context.confirmation.Age(m_context.clock.BootNow()) <= limit;
+         m_context.IsConfirmed();
 }
 
 void Forwarder::Tick() {
--- a/tests/unit/forward_path_test.cc
+++ b/tests/unit/forward_path_test.cc
@@ -138,6 +138,18 @@
   cr_assert_eq(fleet.endpoint.requests, 1);
 }
 
+// Guards against callers with unknown keys who are asked to come back again and again because a
+// watch is still waiting, and against a final refusal by a router that may have missed a
+// configuration.
+Test(forward_path, refuses_unknown_keys_for_good_only_while_the_configuration_is_confirmed) {
+  Single fleet(TestRoute(RequestKind::kIdempotent), AnswerOk);
+  fleet.store.SetFault(-1);
+  fleet.clock.Suspend(2'400ms);
+  cr_assert_eq(fleet.Call("Secret: key-2\r\n")->status, 401);
+  fleet.clock.Suspend(1'000ms);
+  cr_assert_eq(fleet.Call("Secret: key-2\r\n")->status, 503);
+}
+
 // Guards against a second run of a call that must run once: its endpoint may have run it although
 // the answer was lost.
 Test(forward_path, never_repeats_a_call_that_may_have_run) {
