--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -33,8 +33,9 @@
 constexpr std::chrono::milliseconds kEndpointPause = 500ms;
 
 // A watch of the configuration confirms keys, which count as revoked some seconds after the last
-// confirmation; two watches fit into the time in which the router stays ready.
-constexpr std::chrono::milliseconds kConfigurationWatch = 1'400ms;
+// confirmation. The platform expects them to be refused from three seconds without contact on, and
+// the last confirmation may be two watches old when contact is lost.
+constexpr std::chrono::milliseconds kConfigurationWatch = 1'000ms;
 
 // A watch of the endpoints confirms nothing and is priced like any call.
 constexpr std::chrono::milliseconds kEndpointWatch = 5'000ms;
