--- a/src/forward/endpoint_ranking.cc
+++ b/src/forward/endpoint_ranking.cc
@@ -128,6 +128,19 @@
   return kSlowFactor * *middle;
 }
 
+/// What other routers have at an endpoint on average, by the last reports.
+double TypicalOthers(std::span<const EndpointPtr> endpoints) {
+  double total = 0;
+  std::size_t count = 0;
+  for (const EndpointPtr& endpoint : endpoints) {
+    if (const auto others = endpoint->load.ReportedOthers()) {
+      total += *others;
+      ++count;
+    }
+  }
+  return count == 0 ? 0 : total / static_cast<double>(count);
+}
+
 double LoadCost(const Endpoint& endpoint, const RankingRequest& request, double load,
                 RandomSource& random) {
   const double slots = std::max<double>(endpoint.record.slots, 1);
@@ -140,6 +153,7 @@
 Ranking RankEndpoints(std::span<const EndpointPtr> endpoints, std::span<const EndpointPtr> draining,
                       const RankingRequest& request, SteadyTime now, RandomSource& random,
                       std::size_t limit) {
+  const double typical_others = TypicalOthers(endpoints);
   double total_load = 0;
   double total_failure_rate = 0;
   std::size_t count = 0;
@@ -148,7 +162,7 @@
     if (CanServe(*endpoint, request)) {
       ++count;
       oldest = std::min(oldest, endpoint->record.started_at);
-      total_load += endpoint->load.Requests(now);
+      total_load += endpoint->load.Requests(now, typical_others);
       total_failure_rate += endpoint->health.FailureRate(now);
     }
   }
@@ -185,7 +199,7 @@
         old_holder.Offer(endpoint, score);
       }
     }
-    const double load = endpoint->load.Requests(now);
+    const double load = endpoint->load.Requests(now, typical_others);
     const bool failing =
         endpoint->health.state() == requests::BreakerState::kOpen || endpoint->full_until > now ||
         endpoint->health.IsSilent(now) ||
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -28,9 +28,10 @@
 // Share of the memory that bodies of requests may take.
 constexpr std::uint64_t kBodyMemoryShare = 4;
 
-// Watches of endpoints wait this long after changes, so that the heartbeats of a pool share a call.
-// The platform allows two seconds until a draining endpoint gets no more requests.
-constexpr std::chrono::milliseconds kEndpointPause = 500ms;
+// Part of the time until a draining endpoint must get no more requests that a watch of the
+// endpoints pauses after changes, so that the changes of a busy pool share a call. The rest is left
+// for a slow answer and a lost connection.
+constexpr double kEndpointPauseShare = 0.3;
 
 // A watch of the configuration confirms keys, which count as revoked some seconds after the last
 // confirmation. The platform expects them to be refused from three seconds without contact on, and
@@ -210,14 +211,15 @@
                                                 .prefix = std::string(adapter.ConfigurationKey()),
                                                 .watch_time = kConfigurationWatch},
                                    m_configuration_follower);
-  m_endpoint_feed =
-      std::make_unique<PrefixFeed>(loop, clock, random, adapter.Codec(), metrics,
-                                   FeedSettings{.name = "endpoints",
-                                                .address = settings.key_value,
-                                                .prefix = std::string(adapter.EndpointPrefix()),
-                                                .watch_time = kEndpointWatch,
-                                                .pause_after_change = kEndpointPause},
-                                   m_endpoint_follower);
+  m_endpoint_feed = std::make_unique<PrefixFeed>(
+      loop, clock, random, adapter.Codec(), metrics,
+      FeedSettings{.name = "endpoints",
+                   .address = settings.key_value,
+                   .prefix = std::string(adapter.EndpointPrefix()),
+                   .watch_time = kEndpointWatch,
+                   .pause_after_change = std::chrono::duration_cast<std::chrono::milliseconds>(
+                       settings.bounds.endpoint_drain * kEndpointPauseShare)},
+      m_endpoint_follower);
   m_tick.StartPeriodic(kTickInterval);
 }
 
--- a/src/forward/load_estimate.cc
+++ b/src/forward/load_estimate.cc
@@ -8,9 +8,10 @@
 
 namespace {
 
-// The requests of other routers turn over in the time of a stream, a few seconds. A report that
-// decays with that time makes an endpoint without recent answers attractive again.
-constexpr std::chrono::duration<double> kDecayTime{4.0};
+// The single requests behind a report end within seconds, but the popularity of the prompts at home
+// at an endpoint lasts. In a large fleet, a router hears from each endpoint only every ten seconds
+// or more, and a report that was forgotten sooner would bound nothing.
+constexpr std::chrono::duration<double> kDecayTime{10.0};
 
 // Age up to which a report of waiting requests still describes the queue.
 constexpr std::chrono::milliseconds kRecentAge{1'000};
@@ -24,14 +25,21 @@
   m_own_at_report = m_own;
 }
 
-double LoadEstimate::Requests(SteadyTime now) const noexcept {
+std::optional<double> LoadEstimate::ReportedOthers() const noexcept {
   if (!m_reported) {
-    return m_own;
+    return std::nullopt;
   }
   const double total = static_cast<double>(m_report.running) + m_report.waiting;
-  const double others = std::max(0.0, total - m_own_at_report);
+  return std::max(0.0, total - m_own_at_report);
+}
+
+double LoadEstimate::Requests(SteadyTime now, double typical_others) const noexcept {
+  const std::optional<double> others = ReportedOthers();
+  if (!others) {
+    return m_own;
+  }
   const std::chrono::duration<double> age = now - m_reported_at;
-  return m_own + others * std::exp(-age / kDecayTime);
+  return m_own + typical_others + (*others - typical_others) * std::exp(-age / kDecayTime);
 }
 
 std::optional<LoadReport> LoadEstimate::Recent(SteadyTime now) const noexcept {
--- a/src/forward/load_estimate.h
+++ b/src/forward/load_estimate.h
@@ -30,8 +30,12 @@
   /// \brief Requests of this router at the endpoint.
   [[nodiscard]] std::uint32_t own() const noexcept { return m_own; }
 
-  /// \brief Requests of all routers at the endpoint, waiting ones included.
-  [[nodiscard]] double Requests(SteadyTime now) const noexcept;
+  /// \brief Requests of all routers at the endpoint, waiting ones included. `typical_others`: what
+  /// other routers have at an endpoint of the pool on average, to which an old report is pulled.
+  [[nodiscard]] double Requests(SteadyTime now, double typical_others = 0) const noexcept;
+
+  /// \brief Requests of other routers at the last report; empty if there was none.
+  [[nodiscard]] std::optional<double> ReportedOthers() const noexcept;
 
   /// \brief The last report; empty if there is none or it is too old to decide on.
   [[nodiscard]] std::optional<LoadReport> Recent(SteadyTime now) const noexcept;
--- a/src/settings/forwarder_settings.cc
+++ b/src/settings/forwarder_settings.cc
@@ -16,6 +16,7 @@
   ForwarderBounds bounds;
   bounds.key_revocation = section.Duration("key_revocation", bounds.key_revocation);
   bounds.configuration = section.Duration("configuration", bounds.configuration);
+  bounds.endpoint_drain = section.Duration("endpoint_drain", bounds.endpoint_drain);
   bounds.grace = section.Duration("grace", bounds.grace);
   bounds.retry_ratio = section.Number("retry_ratio", bounds.retry_ratio, 0, kMaxRetryRatio);
   bounds.retry_slack = static_cast<std::uint32_t>(
--- a/src/settings/forwarder_settings.h
+++ b/src/settings/forwarder_settings.h
@@ -18,6 +18,8 @@
   std::chrono::milliseconds key_revocation{5'000};
   /// A configuration must be in force this long after it was accepted.
   std::chrono::milliseconds configuration{2'000};
+  /// A draining endpoint must get no requests this long after its announcement.
+  std::chrono::milliseconds endpoint_drain{2'000};
   /// Time between a stop signal and the forced end.
   std::chrono::milliseconds grace{8'000};
   /// Repeated sends for each request of a service, over all routers.
--- a/tests/unit/settings_forwarder_test.cc
+++ b/tests/unit/settings_forwarder_test.cc
@@ -31,6 +31,7 @@
 bounds:
   key_revocation: 5000ms
   configuration: 2000ms
+  endpoint_drain: 3000ms
   grace: 8s
   retry_ratio: 0.2
   retry_slack: 108
@@ -58,6 +59,7 @@
   cr_assert_eq(settings.memory_bytes, 182U << 20U);
   cr_assert_eq(settings.listen_metrics, std::string("10.0.0.1:8002"));
   cr_assert(settings.bounds.key_revocation == 5s && settings.bounds.grace == 8s);
+  cr_assert(settings.bounds.endpoint_drain == 3s);
   cr_assert_eq(settings.bounds.retry_slack, 108);
 }
 
@@ -98,6 +100,7 @@
                                    "platform.key_value",
                                    "bounds.key_revocation",
                                    "bounds.configuration",
+                                   "bounds.endpoint_drain",
                                    "bounds.grace",
                                    "bounds.retry_ratio",
                                    "bounds.retry_slack",
