Narrow the load bounds

Long prompts 1.8 times the mean and 2.5 (before 1.9 and 3), short ones 1.5 and 1.5 (1.6 and 2): with 46 routers that see the load late, the old bound lay at the platform's own limit.

--- a/src/forward/endpoint_ranking.cc
+++ b/src/forward/endpoint_ranking.cc
@@ -20,8 +20,8 @@
 
 // The platform tolerates twice the mean and three requests. Routers see the load late, so the wide
 // bound stays below.
-constexpr LoadBound kLongPromptBound{1.9, 3.0};
-constexpr LoadBound kShortPromptBound{1.6, 2.0};
+constexpr LoadBound kLongPromptBound{1.8, 2.5};
+constexpr LoadBound kShortPromptBound{1.5, 1.5};
 
 // Shared tokens from which a prompt counts as long: reading them takes an engine longer than a
 // step of its batch.
