--- a/src/daemon/daemon_main.cc
+++ b/src/daemon/daemon_main.cc
@@ -1,5 +1,4 @@
 #include <csignal>
-#include <cxxopts.hpp>
 #include <iostream>
 #include <memory>
 #include <string>
@@ -7,12 +6,11 @@
 #include "core/log.h"
 #include "daemon/daemon_process.h"
 #include "daemon/log_events.h"
+#include "daemon/program.h"
 #include "settings/settings.h"
 
 namespace {
 
-constexpr int kExitFailure = 1;
-constexpr int kExitInvalidSettings = 2;
 constexpr int kExitRequestsCut = 3;
 
 /// Signals that stop the daemon, blocked in all threads.
@@ -27,7 +25,7 @@
   return signals;
 }
 
-int Run(const wagtailwind::settings::Settings& settings) {
+int Run(const std::string& /*path*/, const wagtailwind::settings::Settings& settings) {
   namespace daemon = wagtailwind::daemon;
   const sigset_t signals = BlockStopSignals();
   wagtailwind::InitialiseLogging(settings.log_level, settings.instance.value());
@@ -37,7 +35,7 @@
                                                                   : daemon::StartAgent(settings);
   } catch (const wagtailwind::Error& error) {
     wagtailwind::Log(daemon::kStartFailed, {{"error", error.name()}, {"message", error.what()}});
-    return kExitFailure;
+    return daemon::kExitFailure;
   }
   std::cout << process->ReadyLine() << std::endl;
   wagtailwind::Log(daemon::kListening, {{"addresses", process->ReadyLine()}});
@@ -54,26 +52,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  cxxopts::Options options("wagtailwindd", "Router or agent daemon of the wagtailwind fleet.");
-  options.add_options()("config", "settings file (YAML)", cxxopts::value<std::string>())(
-      "check", "check the settings file and exit")("help", "show this text");
-  try {
-    const cxxopts::ParseResult arguments = options.parse(argc, argv);
-    if (arguments.count("help") > 0) {
-      std::cout << options.help();
-      return 0;
-    }
-    if (arguments.count("config") == 0) {
-      std::cerr << options.help();
-      return kExitInvalidSettings;
-    }
-    const wagtailwind::settings::Settings settings =
-        wagtailwind::settings::ReadSettings(arguments["config"].as<std::string>());
-    return arguments.count("check") > 0 ? 0 : Run(settings);
-  } catch (const wagtailwind::settings::SettingsError& error) {
-    std::cerr << "wagtailwindd: " << error.name() << ": " << error.what() << '\n';
-  } catch (const cxxopts::exceptions::exception& error) {
-    std::cerr << "wagtailwindd: " << error.what() << '\n';
-  }
-  return kExitInvalidSettings;
+  return wagtailwind::daemon::RunProgram("wagtailwindd",
+                                         "Router or agent daemon of the wagtailwind fleet.", argc,
+                                         argv, wagtailwind::settings::ReadSettings, Run);
 }
--- a/src/daemon/forwarder_main.cc
+++ b/src/daemon/forwarder_main.cc
@@ -2,7 +2,6 @@
 #include <sys/stat.h>
 
 #include <chrono>
-#include <cxxopts.hpp>
 #include <iostream>
 #include <string>
 
@@ -11,6 +10,7 @@
 #include "core/log.h"
 #include "core/metrics.h"
 #include "core/random_source.h"
+#include "daemon/program.h"
 #include "forward/forwarder.h"
 #include "forward/log_events.h"
 #include "net/event_loop.h"
@@ -22,9 +22,6 @@
 using namespace std::chrono_literals;
 using wagtailwind::Log;
 
-constexpr int kExitFailure = 1;
-constexpr int kExitInvalidSettings = 2;
-
 // Log lines reach the collector at most this late.
 constexpr std::chrono::milliseconds kLogFlushInterval = 100ms;
 
@@ -107,7 +104,7 @@
     loop.Run();
   } catch (const net::SocketFailed& error) {
     std::cerr << "wagtailwind-forwarder: " << error.name() << ": " << error.what() << '\n';
-    return kExitFailure;
+    return wagtailwind::daemon::kExitFailure;
   }
   wagtailwind::FlushLogLines();
   return 0;
@@ -116,26 +113,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  cxxopts::Options options("wagtailwind-forwarder", "Router that forwards straight to endpoints.");
-  options.add_options()("config", "settings file (YAML)", cxxopts::value<std::string>())(
-      "check", "check the settings file and exit")("help", "show this text");
-  try {
-    const cxxopts::ParseResult arguments = options.parse(argc, argv);
-    if (arguments.count("help") > 0) {
-      std::cout << options.help();
-      return 0;
-    }
-    if (arguments.count("config") == 0) {
-      std::cerr << options.help();
-      return kExitInvalidSettings;
-    }
-    const auto path = arguments["config"].as<std::string>();
-    const auto settings = wagtailwind::settings::ReadForwarderSettings(path);
-    return arguments.count("check") > 0 ? 0 : Run(path, settings);
-  } catch (const wagtailwind::settings::SettingsError& error) {
-    std::cerr << "wagtailwind-forwarder: " << error.name() << ": " << error.what() << '\n';
-  } catch (const cxxopts::exceptions::exception& error) {
-    std::cerr << "wagtailwind-forwarder: " << error.what() << '\n';
-  }
-  return kExitInvalidSettings;
+  return wagtailwind::daemon::RunProgram("wagtailwind-forwarder",
+                                         "Router that forwards straight to endpoints.", argc, argv,
+                                         wagtailwind::settings::ReadForwarderSettings, Run);
 }
