Pass no refusal on that may have run

Found in review: a 408, 429 or 503 of an endpoint without its mark of a refusal went to the caller as it was, where it means that the call has not run. The caller gets 502, and a call that may repeat goes to another endpoint. The test fails without the change.

--- a/src/forward/forward_task_answer.cc
+++ b/src/forward/forward_task_answer.cc
@@ -31,6 +31,8 @@
 constexpr int kOkFirst = 200;
 constexpr int kOkLast = 299;
 constexpr int kMisdirected = 421;
+constexpr int kRequestTimeout = 408;
+constexpr int kTooManyRequests = 429;
 constexpr int kServerErrorFirst = 500;
 constexpr int kBadGateway = 502;
 constexpr int kGatewayTimeout = 504;
@@ -41,6 +43,12 @@
   return text;
 }
 
+/// Whether a status tells the caller that its request has not run.
+bool SaysNotRun(int status) noexcept {
+  return status == kRequestTimeout || status == kMisdirected || status == kTooManyRequests ||
+         status == detail::kStatusUnavailable;
+}
+
 }  // namespace
 
 void ForwardTask::OnSending() {
@@ -225,6 +233,18 @@
       return;
     case AnswerKind::kFailure:
       CountAttempt("failed");
+      // Without the endpoint's word for it, such a status would be a false "not run" to the caller.
+      if (SaysNotRun(m_answer_head.status)) {
+        endpoint->health.OnFailure(AttemptFailure::kAnswered, now);
+        Log(kAttemptFailed, {{"id", m_id},
+                             {"attempt", m_attempt},
+                             {"endpoint", endpoint->record.name.value()},
+                             {"reason", requests::ToText(FailureReason::kEngineLost)},
+                             {"status", m_answer_head.status},
+                             {"detail", "status of a refusal without the mark of one"}});
+        Follow(m_decision->OnLost(m_attempt, FailureReason::kEngineLost));
+        return;
+      }
       if (m_answer_head.status < kServerErrorFirst) {
         endpoint->health.OnSuccess(now);
         m_failure.emplace(std::move(m_answer_head), std::move(m_answer_body));
--- a/tests/unit/forward_path_test.cc
+++ b/tests/unit/forward_path_test.cc
@@ -194,6 +194,23 @@
   cr_assert_eq(HeaderOf(answer->headers, "Signed"), std::string("yes"));
 }
 
+// Guards against a false "not run": an endpoint that answers with the status of a refusal, but does
+// not say that it has not run the call.
+Test(forward_path, does_not_pass_on_a_refusal_that_may_have_run) {
+  for (const int status : {408, 429, 503}) {
+    Pair fleet(
+        TestRoute(RequestKind::kNonIdempotent, 2),
+        [status](Connection& connection) {
+          connection.Write(HttpText(status, SignedHeaders(connection), ""));
+        },
+        AnswerOk);
+    const auto answer = fleet.Call("", "order", "POST");
+    cr_assert_eq(answer->status, 502);
+    cr_assert_eq(HeaderOf(answer->headers, "Signed"), std::string());
+    cr_assert_eq(fleet.arrivals, 1);
+  }
+}
+
 // Guards against successes that no endpoint has signed or that are not whole.
 Test(forward_path, reports_no_success_without_signature_or_end) {
   const ScriptedServer::Handler handlers[] = {
