Share header name comparison and percent encoding, and remove dead forwarder code

Cause: a review of the forwarder found four copies of the comparison of field names, three of percent encoding, repeated log calls for failed attempts, and members and functions without a caller.

Ruled out: sharing the lists of hop-by-hop fields; they differ in contents.

--- a/src/forward/connection_pool.cc
+++ b/src/forward/connection_pool.cc
@@ -108,14 +108,18 @@
 
 void ConnectionPool::Sweep() {
   const BootTime now = m_clock.BootNow();
-  for (auto& [endpoint, connections] : m_idle) {
-    connections.remove_if([&](const std::unique_ptr<Idle>& idle) {
+  for (auto entry = m_idle.begin(); entry != m_idle.end();) {
+    const auto current = entry++;
+    current->second.remove_if([&](const std::unique_ptr<Idle>& idle) {
       if (now < idle->until()) {
         return false;
       }
       Discard(idle->Take());
       return true;
     });
+    if (current->second.empty()) {
+      m_idle.erase(current);
+    }
   }
 }
 
--- a/src/forward/endpoint_health.cc
+++ b/src/forward/endpoint_health.cc
@@ -9,7 +9,7 @@
 
 using namespace std::chrono_literals;
 
-// Three failures in a row are rare by chance at an endpoint that fails one request in seven, the
+// Four failures in a row are rare by chance at an endpoint that fails one request in seven, the
 // usual rate of some services. The open time is short because a crashed endpoint leaves the list of
 // endpoints within a few heartbeats anyway.
 constexpr requests::CircuitBreakerSettings kBreaker{
--- a/src/forward/endpoint_ranking.cc
+++ b/src/forward/endpoint_ranking.cc
@@ -54,6 +54,12 @@
 // Load of the old endpoints over the pool's mean that sparing the new ones may lead to.
 constexpr double kOldExcess = 1.15;
 
+/// An endpoint that can serve the request, with its load.
+struct Candidate {
+  const EndpointPtr* endpoint;
+  double load;
+};
+
 struct Scored {
   const EndpointPtr* endpoint;
   /// 0: within the bounds; 1: overloaded; 2: full or failing.
@@ -154,40 +160,42 @@
                       const RankingRequest& request, SteadyTime now, RandomSource& random,
                       std::size_t limit) {
   const double typical_others = TypicalOthers(endpoints);
+  std::vector<Candidate> candidates;
+  candidates.reserve(endpoints.size());
   double total_load = 0;
   double total_failure_rate = 0;
-  std::size_t count = 0;
   WallTime oldest = WallTime::max();
   for (const EndpointPtr& endpoint : endpoints) {
     if (CanServe(*endpoint, request)) {
-      ++count;
+      const double load = endpoint->load.Requests(now, typical_others);
+      candidates.push_back({.endpoint = &endpoint, .load = load});
       oldest = std::min(oldest, endpoint->record.started_at);
-      total_load += endpoint->load.Requests(now, typical_others);
+      total_load += load;
       total_failure_rate += endpoint->health.FailureRate(now);
     }
   }
-  if (count == 0) {
+  if (candidates.empty()) {
     return {};
   }
-  const auto young = static_cast<std::size_t>(
-      std::count_if(endpoints.begin(), endpoints.end(), [&](const EndpointPtr& endpoint) {
-        return CanServe(*endpoint, request) && IsYoung(*endpoint, oldest);
-      }));
-  const double least_share = LeastYoungShare(count - young, young);
-  const double mean = total_load / static_cast<double>(count);
-  const double mean_failure_rate = total_failure_rate / static_cast<double>(count);
+  const auto count = static_cast<double>(candidates.size());
+  const auto young = static_cast<std::size_t>(std::count_if(
+      candidates.begin(), candidates.end(),
+      [oldest](const Candidate& candidate) { return IsYoung(**candidate.endpoint, oldest); }));
+  const double least_share = LeastYoungShare(candidates.size() - young, young);
+  const double mean = total_load / count;
+  const double mean_failure_rate = total_failure_rate / count;
   const bool is_long = request.prompt && request.prompt->tokens >= kLongPromptTokens;
   const LoadBound& limits = is_long ? kLongPromptBound : kShortPromptBound;
   const double bound = limits.factor * mean + limits.slack;
-  const auto slow_pace = SlowPace(endpoints, now);
+  // Only the order of prompts depends on it.
+  const auto slow_pace =
+      request.prompt ? SlowPace(endpoints, now) : std::chrono::duration<double>::max();
   std::vector<Scored> scored;
-  scored.reserve(count);
+  scored.reserve(candidates.size());
   Holder home;
   Holder old_holder;
-  for (const EndpointPtr& endpoint : endpoints) {
-    if (!CanServe(*endpoint, request)) {
-      continue;
-    }
+  for (const auto& [candidate, load] : candidates) {
+    const EndpointPtr& endpoint = *candidate;
     double score = 0;
     if (request.prompt) {
       const bool is_young = IsYoung(*endpoint, oldest);
@@ -199,13 +207,13 @@
         old_holder.Offer(endpoint, score);
       }
     }
-    const double load = endpoint->load.Requests(now, typical_others);
     const bool failing =
         endpoint->health.state() == requests::BreakerState::kOpen || endpoint->full_until > now ||
         endpoint->health.IsSilent(now) ||
         endpoint->health.FailureRate(now) > kFailureFactor * mean_failure_rate + kExcessFailureRate;
-    const bool slow = endpoint->pace.Mean(now).value_or(slow_pace) > slow_pace;
-    const bool overloaded = request.prompt && (load > bound || slow);
+    const bool overloaded =
+        request.prompt &&
+        (load > bound || endpoint->pace.Mean(now).value_or(slow_pace) > slow_pace);
     const int tier = failing ? 2 : overloaded ? 1 : 0;
     const double cost =
         request.prompt && tier == 0 ? -score : LoadCost(*endpoint, request, load, random);
--- a/src/forward/forward_task.cc
+++ b/src/forward/forward_task.cc
@@ -49,7 +49,6 @@
       m_silence_timer(context.loop, [this] { OnSilence(); }) {}
 
 ForwardTask::~ForwardTask() {
-  *m_alive = false;
   if (m_connection) {
     DropAttempt();
   }
--- a/src/forward/forward_task.h
+++ b/src/forward/forward_task.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "core/log.h"
 #include "forward/endpoint_ranking.h"
 #include "forward/event_framer.h"
 #include "forward/forward_context.h"
@@ -69,6 +70,9 @@
   /// Ends an attempt for a reason that is not the endpoint's.
   void DropAttempt();
   void CountAttempt(std::string_view result);
+  /// Logs an attempt that failed; `what` is what the endpoint showed.
+  void LogFailedAttempt(const EndpointPtr& endpoint, std::string_view reason, const LogField& what,
+                        std::string_view detail = {}) const;
   void LoseAttempt(requests::FailureReason reason, std::string_view detail);
   void OnSilence();
   void WatchForSilence();
@@ -86,6 +90,8 @@
   [[nodiscard]] AnswerKind Classify(const http1::MessageHead& head) const;
   void TakeLoad(const http1::MessageHead& head);
   void FinishAnswer();
+  /// Takes a failure that the endpoint reports of a request that it ran.
+  void FinishFailure(const EndpointPtr& endpoint);
   /// What has gone to the caller can't be continued by another attempt.
   void PinToAttempt();
   void OnEvent(std::string_view event, std::optional<std::uint64_t> id);
@@ -107,7 +113,6 @@
   /// Empty once the caller has gone.
   ResponseSink* m_sink;
   std::function<void(ForwardTask&)> m_on_adopted_end;
-  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 
   std::shared_ptr<const RoutingConfiguration> m_configuration;
   std::shared_ptr<const Route> m_route;
--- a/src/forward/forward_task_answer.cc
+++ b/src/forward/forward_task_answer.cc
@@ -220,11 +220,8 @@
       CountAttempt("refused");
       endpoint->health.OnNeutral();
       endpoint->full_until = now + kFullTime;
-      Log(kAttemptFailed, {{"id", m_id},
-                           {"attempt", m_attempt},
-                           {"endpoint", endpoint->record.name.value()},
-                           {"reason", requests::ToText(FailureReason::kOverBound)},
-                           {"status", m_answer_head.status}});
+      LogFailedAttempt(endpoint, requests::ToText(FailureReason::kOverBound),
+                       {"status", m_answer_head.status});
       if (m_answer_head.status == detail::kStatusBadRequest) {
         Refuse(detail::kStatusBadRequest, FailureReason::kMalformedRequest);
         return;
@@ -233,47 +230,38 @@
       return;
     case AnswerKind::kFailure:
       CountAttempt("failed");
-      // Without the endpoint's word for it, such a status would be a false "not run" to the caller.
-      if (SaysNotRun(m_answer_head.status)) {
-        endpoint->health.OnFailure(AttemptFailure::kAnswered, now);
-        Log(kAttemptFailed, {{"id", m_id},
-                             {"attempt", m_attempt},
-                             {"endpoint", endpoint->record.name.value()},
-                             {"reason", requests::ToText(FailureReason::kEngineLost)},
-                             {"status", m_answer_head.status},
-                             {"detail", "status of a refusal without the mark of one"}});
-        Follow(m_decision->OnLost(m_attempt, FailureReason::kEngineLost));
-        return;
-      }
-      if (m_answer_head.status < kServerErrorFirst) {
-        endpoint->health.OnSuccess(now);
-        m_failure.emplace(std::move(m_answer_head), std::move(m_answer_body));
-        Finish(m_decision->OnAbort(FailureReason::kEngineLost));
-        return;
-      }
-      endpoint->health.OnFailure(AttemptFailure::kAnswered, now);
-      Log(kAttemptFailed, {{"id", m_id},
-                           {"attempt", m_attempt},
-                           {"endpoint", endpoint->record.name.value()},
-                           {"reason", requests::ToText(FailureReason::kEngineLost)},
-                           {"status", m_answer_head.status}});
-      m_failure.emplace(std::move(m_answer_head), std::move(m_answer_body));
-      Follow(m_decision->OnLost(m_attempt, FailureReason::kEngineLost));
+      FinishFailure(endpoint);
       return;
     case AnswerKind::kInvalid:
     case AnswerKind::kNone:
       CountAttempt("invalid");
       endpoint->health.OnFailure(AttemptFailure::kAnswered, now);
-      Log(kAttemptFailed, {{"id", m_id},
-                           {"attempt", m_attempt},
-                           {"endpoint", endpoint->record.name.value()},
-                           {"reason", requests::ToText(FailureReason::kConnectionLost)},
-                           {"detail", "answer without signature"}});
+      LogFailedAttempt(endpoint, requests::ToText(FailureReason::kConnectionLost),
+                       {"detail", "answer without signature"});
       Follow(m_decision->OnLost(m_attempt, FailureReason::kConnectionLost));
       return;
   }
 }
 
+void ForwardTask::FinishFailure(const EndpointPtr& endpoint) {
+  const SteadyTime now = m_context.clock.Now();
+  const int status = m_answer_head.status;
+  // Without the endpoint's word for it, such a status would be a false "not run" to the caller.
+  const bool is_unmarked_refusal = SaysNotRun(status);
+  if (!is_unmarked_refusal) {
+    m_failure.emplace(std::move(m_answer_head), std::move(m_answer_body));
+  }
+  if (!is_unmarked_refusal && status < kServerErrorFirst) {
+    endpoint->health.OnSuccess(now);
+    Finish(m_decision->OnAbort(FailureReason::kEngineLost));
+    return;
+  }
+  endpoint->health.OnFailure(AttemptFailure::kAnswered, now);
+  LogFailedAttempt(endpoint, requests::ToText(FailureReason::kEngineLost), {"status", status},
+                   is_unmarked_refusal ? "status of a refusal without the mark of one" : "");
+  Follow(m_decision->OnLost(m_attempt, FailureReason::kEngineLost));
+}
+
 void ForwardTask::OnConnectionEnd(http1::ConnectionEnd end, std::string_view detail) {
   if (!m_connection) {
     return;
@@ -285,11 +273,7 @@
   }
   if (end == http1::ConnectionEnd::kNotConnected) {
     const EndpointPtr endpoint = m_connection->endpoint;
-    Log(kAttemptFailed, {{"id", m_id},
-                         {"attempt", m_attempt},
-                         {"endpoint", endpoint->record.name.value()},
-                         {"reason", http1::ToText(end)},
-                         {"detail", detail}});
+    LogFailedAttempt(endpoint, http1::ToText(end), {"detail", detail});
     CountAttempt("not_connected");
     endpoint->health.OnFailure(AttemptFailure::kNotConnected, m_context.clock.Now());
     EndAttempt();
@@ -320,7 +304,7 @@
 std::vector<http::Header> ForwardTask::CallerHeaders(const http1::MessageHead& head) const {
   std::vector<http::Header> headers = EndToEndHeaders(head.headers);
   std::erase_if(headers, [this](const http::Header& header) {
-    return SameName(header.name, m_context.names.load);
+    return http::SameName(header.name, m_context.names.load);
   });
   return headers;
 }
--- a/src/forward/forward_task_attempts.cc
+++ b/src/forward/forward_task_attempts.cc
@@ -98,14 +98,14 @@
     text.append(name).append(": ").append(value).append("\r\n");
   };
   const auto is_reserved = [&names](std::string_view name) {
-    return SameName(name, names.api_key) || SameName(name, names.organisation) ||
-           SameName(name, names.deadline) || SameName(name, names.expected_endpoint) ||
-           SameName(name, names.priority) || SameName(name, names.fetch_from) ||
+    return http::SameName(name, names.api_key) || http::SameName(name, names.organisation) ||
+           http::SameName(name, names.deadline) || http::SameName(name, names.expected_endpoint) ||
+           http::SameName(name, names.priority) || http::SameName(name, names.fetch_from) ||
            std::any_of(names.reserved.begin(), names.reserved.end(),
-                       [name](const std::string& field) { return SameName(field, name); });
+                       [name](const std::string& field) { return http::SameName(field, name); });
   };
   for (const http::Header& header : EndToEndHeaders(m_request.head.headers)) {
-    const bool replaced = m_last_event_id && SameName(header.name, kLastEventId);
+    const bool replaced = m_last_event_id && http::SameName(header.name, kLastEventId);
     if (!replaced && !is_reserved(header.name)) {
       add(header.name, header.value);
     }
@@ -153,6 +153,19 @@
       .Add();
 }
 
+void ForwardTask::LogFailedAttempt(const EndpointPtr& endpoint, std::string_view reason,
+                                   const LogField& what, std::string_view detail) const {
+  const LogField id("id", m_id);
+  const LogField attempt("attempt", m_attempt);
+  const LogField name("endpoint", endpoint->record.name.value());
+  const LogField why("reason", reason);
+  if (detail.empty()) {
+    Log(kAttemptFailed, {id, attempt, name, why, what});
+  } else {
+    Log(kAttemptFailed, {id, attempt, name, why, what, LogField("detail", detail)});
+  }
+}
+
 void ForwardTask::LoseAttempt(FailureReason reason, std::string_view detail) {
   const EndpointPtr endpoint = m_connection->endpoint;
   Log(kAttemptFailed, {{"id", m_id},
--- a/src/forward/header_rules.cc
+++ b/src/forward/header_rules.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 #include <charconv>
 #include <cstdint>
 
@@ -42,18 +41,10 @@
 
 }  // namespace
 
-bool SameName(std::string_view left, std::string_view right) noexcept {
-  return left.size() == right.size() &&
-         std::equal(left.begin(), left.end(), right.begin(), [](char a, char b) {
-           return std::tolower(static_cast<unsigned char>(a)) ==
-                  std::tolower(static_cast<unsigned char>(b));
-         });
-}
-
 std::vector<http::Header> EndToEndHeaders(const std::vector<http::Header>& headers) {
   std::vector<std::string_view> dropped(kConnectionFields.begin(), kConnectionFields.end());
   for (const http::Header& header : headers) {
-    if (SameName(header.name, "Connection")) {
+    if (http::SameName(header.name, "Connection")) {
       for (std::string_view list = header.value; !list.empty();) {
         dropped.push_back(TakeItem(list));
       }
@@ -63,7 +54,7 @@
   kept.reserve(headers.size());
   for (const http::Header& header : headers) {
     const bool drop = std::any_of(dropped.begin(), dropped.end(), [&header](std::string_view name) {
-      return SameName(name, header.name);
+      return http::SameName(name, header.name);
     });
     if (!drop) {
       kept.push_back(header);
@@ -73,9 +64,9 @@
 }
 
 std::size_t CountHeaders(const std::vector<http::Header>& headers, std::string_view name) noexcept {
-  return static_cast<std::size_t>(
-      std::count_if(headers.begin(), headers.end(),
-                    [name](const http::Header& header) { return SameName(header.name, name); }));
+  return static_cast<std::size_t>(std::count_if(
+      headers.begin(), headers.end(),
+      [name](const http::Header& header) { return http::SameName(header.name, name); }));
 }
 
 std::optional<std::chrono::milliseconds> ParseMilliseconds(std::string_view text) noexcept {
--- a/src/forward/header_rules.h
+++ b/src/forward/header_rules.h
@@ -11,9 +11,6 @@
 
 namespace wagtailwind::forward {
 
-/// \brief Whether two field names are the same in any case.
-[[nodiscard]] bool SameName(std::string_view left, std::string_view right) noexcept;
-
 /// \brief The fields that concern more than one connection, without the length of the body.
 [[nodiscard]] std::vector<http::Header> EndToEndHeaders(const std::vector<http::Header>& headers);
 
--- a/src/forward/load_estimate.cc
+++ b/src/forward/load_estimate.cc
@@ -13,9 +13,6 @@
 // or more, and a report that was forgotten sooner would bound nothing.
 constexpr std::chrono::duration<double> kDecayTime{10.0};
 
-// Age up to which a report of waiting requests still describes the queue.
-constexpr std::chrono::milliseconds kRecentAge{1'000};
-
 }  // namespace
 
 void LoadEstimate::OnReport(const LoadReport& report, SteadyTime now) noexcept {
@@ -42,11 +39,4 @@
   return m_own + typical_others + (*others - typical_others) * std::exp(-age / kDecayTime);
 }
 
-std::optional<LoadReport> LoadEstimate::Recent(SteadyTime now) const noexcept {
-  if (!m_reported || now - m_reported_at > kRecentAge) {
-    return std::nullopt;
-  }
-  return m_report;
-}
-
 }  // namespace wagtailwind::forward
--- a/src/forward/load_estimate.h
+++ b/src/forward/load_estimate.h
@@ -37,12 +37,6 @@
   /// \brief Requests of other routers at the last report; empty if there was none.
   [[nodiscard]] std::optional<double> ReportedOthers() const noexcept;
 
-  /// \brief The last report; empty if there is none or it is too old to decide on.
-  [[nodiscard]] std::optional<LoadReport> Recent(SteadyTime now) const noexcept;
-
-  /// \brief The endpoint has restarted: nothing that was reported holds.
-  void Reset() noexcept { m_reported = false; }
-
  private:
   std::uint32_t m_own = 0;
   std::uint32_t m_own_at_report = 0;
--- a/src/forward/prefix_feed.h
+++ b/src/forward/prefix_feed.h
@@ -63,8 +63,6 @@
   PrefixFeed(const PrefixFeed&) = delete;
   PrefixFeed& operator=(const PrefixFeed&) = delete;
 
-  [[nodiscard]] bool lost() const noexcept { return m_lost; }
-
  private:
   enum class Phase : std::uint8_t { kRange, kWatch };
 
--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -31,9 +31,29 @@
 
 }  // namespace
 
+bool SameName(std::string_view left, std::string_view right) noexcept {
+  return absl::EqualsIgnoreCase(ToAbsl(left), ToAbsl(right));
+}
+
+std::string PercentEncode(std::string_view text, std::string_view also_plain) {
+  constexpr std::string_view kHexDigits = "0123456789ABCDEF";
+  std::string encoded;
+  for (const char character : text) {
+    const auto byte = static_cast<unsigned char>(character);
+    const bool plain = absl::ascii_isalnum(byte) || byte == '-' || byte == '_' || byte == '.' ||
+                       also_plain.find(character) != std::string_view::npos;
+    if (plain) {
+      encoded.push_back(character);
+    } else {
+      encoded.append({'%', kHexDigits[byte >> 4U], kHexDigits[byte & 0x0FU]});
+    }
+  }
+  return encoded;
+}
+
 std::string_view FindHeader(const std::vector<Header>& headers, std::string_view name) noexcept {
   for (const Header& header : headers) {
-    if (absl::EqualsIgnoreCase(header.name, ToAbsl(name))) {
+    if (SameName(header.name, name)) {
       return header.value;
     }
   }
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -13,6 +13,13 @@
   std::string value;
 };
 
+/// \brief Whether two field names are the same in any case.
+[[nodiscard]] bool SameName(std::string_view left, std::string_view right) noexcept;
+
+/// \brief The text with each byte escaped that is no letter, digit, `-`, `_` or `.`, and not one of
+/// `also_plain`.
+[[nodiscard]] std::string PercentEncode(std::string_view text, std::string_view also_plain = {});
+
 /// \brief Value of the first header with this name, in any case; empty if there is none.
 [[nodiscard]] std::string_view FindHeader(const std::vector<Header>& headers,
                                           std::string_view name) noexcept;
--- a/src/http1/client_connection.cc
+++ b/src/http1/client_connection.cc
@@ -42,7 +42,6 @@
   m_is_head = is_head;
   m_in_call = true;
   m_skipping = false;
-  ++m_calls;
   m_parser.Restart();
   if (!m_connected) {
     m_unsent = std::move(request);
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -60,10 +60,6 @@
   /// \brief Whom to tell that an idle connection has ended.
   void SetIdleObserver(ResponseObserver* observer) noexcept { m_observer = observer; }
 
-  /// \brief Whether a response has been complete on this connection.
-  [[nodiscard]] bool WasUsed() const noexcept { return m_calls > 1; }
-  [[nodiscard]] bool IsConnected() const noexcept { return m_connected; }
-
   void StopReading() noexcept { m_stream.StopReading(); }
   void StartReading() { m_stream.StartReading(); }
   void SetPeerTimeout(std::chrono::milliseconds timeout) noexcept {
@@ -88,7 +84,6 @@
   MessageParser m_parser;
   ResponseObserver* m_observer = nullptr;
   std::string m_unsent;
-  std::size_t m_calls = 0;
   bool m_connected = false;
   bool m_is_head = false;
   bool m_in_call = false;
--- a/src/platform/http_key_value_service.cc
+++ b/src/platform/http_key_value_service.cc
@@ -18,23 +18,6 @@
 constexpr std::string_view kRevisionHeader = "Revision";
 constexpr std::string_view kLeaseHeader = "Lease";
 
-// The platform decodes the path once; every byte outside the unreserved set is escaped.
-std::string EscapeKey(std::string_view key) {
-  constexpr std::string_view kHexDigits = "0123456789ABCDEF";
-  std::string escaped;
-  for (const char character : key) {
-    const auto byte = static_cast<unsigned char>(character);
-    const bool plain = (byte >= '0' && byte <= '9') || (byte >= 'a' && byte <= 'z') ||
-                       (byte >= 'A' && byte <= 'Z') || byte == '-' || byte == '_' || byte == '.';
-    if (plain) {
-      escaped.push_back(character);
-    } else {
-      escaped.append({'%', kHexDigits[byte >> 4U], kHexDigits[byte & 0x0FU]});
-    }
-  }
-  return escaped;
-}
-
 // absl::StrCat takes no std::string_view in the packaged Abseil, which has a type of its own.
 template <typename... Part>
 std::string Concatenate(const Part&... part) {
@@ -140,7 +123,7 @@
 }
 
 std::optional<VersionedValue> HttpKeyValueService::Get(std::string_view key) {
-  const Call call{"get", "GET", "/v1/values/" + EscapeKey(key), ""};
+  const Call call{"get", "GET", "/v1/values/" + http::PercentEncode(key), ""};
   http::Response response = Read(call, m_timeout);
   if (response.status == kNotFound) {
     return std::nullopt;
@@ -155,8 +138,8 @@
 SwapResult HttpKeyValueService::CompareAndSwap(std::string_view key, Revision expected,
                                                std::string_view value, LeaseId lease) {
   const Call call{"compare_and_swap", "PUT",
-                  Concatenate("/v1/values/", EscapeKey(key), "?expected=", std::to_string(expected),
-                              "&lease=", std::to_string(lease)),
+                  Concatenate("/v1/values/", http::PercentEncode(key), "?expected=",
+                              std::to_string(expected), "&lease=", std::to_string(lease)),
                   std::string(value)};
   const http::Response response = Write(call);
   return {response.status == kOk, WriteNumber(call, response, kRevisionHeader)};
@@ -164,10 +147,11 @@
 
 std::optional<VersionedValue> HttpKeyValueService::Watch(std::string_view key, Revision after,
                                                          std::chrono::milliseconds timeout) {
-  const Call call{"watch", "GET",
-                  Concatenate("/v1/watch/", EscapeKey(key), "?after=", std::to_string(after),
-                              "&timeout_ms=", std::to_string(timeout.count())),
-                  ""};
+  const Call call{
+      "watch", "GET",
+      Concatenate("/v1/watch/", http::PercentEncode(key), "?after=", std::to_string(after),
+                  "&timeout_ms=", std::to_string(timeout.count())),
+      ""};
   http::Response response = Read(call, timeout + m_timeout);
   if (response.status == kNoContent) {
     return std::nullopt;
--- a/src/router/response_headers.cc
+++ b/src/router/response_headers.cc
@@ -20,9 +20,8 @@
       "Trailer",    "TE",         "Proxy-Connection"};
   const absl::string_view absl_name(name.data(), name.size());
   return !absl::StartsWithIgnoreCase(absl_name, "Wagtailwind-") &&
-         std::none_of(kHopByHop.begin(), kHopByHop.end(), [absl_name](std::string_view hop) {
-           return absl::EqualsIgnoreCase(absl_name, {hop.data(), hop.size()});
-         });
+         std::none_of(kHopByHop.begin(), kHopByHop.end(),
+                      [name](std::string_view hop) { return http::SameName(name, hop); });
 }
 
 }  // namespace
--- a/src/router/validated_request.cc
+++ b/src/router/validated_request.cc
@@ -70,18 +70,14 @@
   return absl::StartsWithIgnoreCase({text.data(), text.size()}, {prefix.data(), prefix.size()});
 }
 
-bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
-  return absl::EqualsIgnoreCase({a.data(), a.size()}, {b.data(), b.size()});
-}
-
 // Two values of one of these headers would let two readers see two different requests.
 void RejectRepeatedHeaders(const std::vector<http::Header>& headers) {
   for (auto header = headers.begin(); header != headers.end(); ++header) {
     const bool matters = StartsWithIgnoringCase(header->name, "Wagtailwind-") ||
-                         EqualsIgnoringCase(header->name, "Last-Event-ID");
+                         http::SameName(header->name, "Last-Event-ID");
     const bool repeats =
         matters && std::any_of(headers.begin(), header, [header](const http::Header& earlier) {
-          return EqualsIgnoringCase(earlier.name, header->name);
+          return http::SameName(earlier.name, header->name);
         });
     if (repeats) {
       RejectMalformed(header->name + " is given twice");
@@ -349,7 +345,7 @@
       const bool is_own = StartsWithIgnoringCase(header.name, "Wagtailwind-");
       const bool is_hop = std::any_of(
           kNotForwarded.begin(), kNotForwarded.end(),
-          [&header](std::string_view name) { return EqualsIgnoringCase(header.name, name); });
+          [&header](std::string_view name) { return http::SameName(header.name, name); });
       if (!is_own && !is_hop) {
         headers.push_back(header);
       }
