Let a quiet watch confirm the configuration up to its end

Each router watched the configuration for 1 s at a time, because a confirmation counted from the sending of a watch and was two watches old when contact was lost just before the end of one. A watch that the service holds to its end without a change proves that nothing changed until then.

Ruled out: renewals of a lease on another connection, at a tenth of the price; they do not show that the watch still hears changes. Reads that may be stale do not tell their age.

Change: such a watch confirms up to its end, unless its answer came too early or too late; then it counts from the sending as before. Watches last 0.34 of the revocation bound. After a change, the next watch takes only what was left.

--- a/src/forward/configuration_follower.cc
+++ b/src/forward/configuration_follower.cc
@@ -11,12 +11,12 @@
     : m_context(context), m_adapter(adapter) {}
 
 void ConfigurationFollower::OnSnapshot(const std::vector<platform::KeyValueItem>& items,
-                                       BootTime sent_at) {
-  OnChanges(items, sent_at);
+                                       BootTime held_at) {
+  OnChanges(items, held_at);
 }
 
 void ConfigurationFollower::OnChanges(const std::vector<platform::KeyValueItem>& changes,
-                                      BootTime sent_at) {
+                                      BootTime held_at) {
   for (const platform::KeyValueItem& change : changes) {
     // Only the newest item matters, but an unreadable one must not hide it.
     if (change.key == m_adapter.ConfigurationKey() && !change.deleted) {
@@ -24,7 +24,7 @@
     }
   }
   if (m_context.configuration && !m_newest_unreadable) {
-    m_context.confirmation.OnConfirmed(sent_at);
+    m_context.confirmation.OnConfirmed(held_at);
   }
 }
 
--- a/src/forward/confirmation.h
+++ b/src/forward/confirmation.h
@@ -11,14 +11,13 @@
 
 /// \brief When the key-value service last confirmed that the configuration in force is the newest.
 ///
-/// A read proves what held at some time after it was sent, so the time of sending counts. The time
-/// includes suspension, during which a key may have been revoked.
+/// The time includes suspension, during which a key may have been revoked.
 class Confirmation {
  public:
-  /// \brief A read that was sent at this time has shown the newest configuration.
-  void OnConfirmed(BootTime sent_at) noexcept {
-    if (!m_confirmed_at || sent_at > *m_confirmed_at) {
-      m_confirmed_at = sent_at;
+  /// \brief The configuration in force was the newest at this time.
+  void OnConfirmed(BootTime held_at) noexcept {
+    if (!m_confirmed_at || held_at > *m_confirmed_at) {
+      m_confirmed_at = held_at;
     }
   }
 
--- a/src/forward/endpoint_follower.h
+++ b/src/forward/endpoint_follower.h
@@ -16,8 +16,8 @@
   /// \brief The references outlive the object.
   EndpointFollower(ForwardContext& context, const DeploymentAdapter& adapter);
 
-  void OnSnapshot(const std::vector<platform::KeyValueItem>& items, BootTime sent_at) override;
-  void OnChanges(const std::vector<platform::KeyValueItem>& changes, BootTime sent_at) override;
+  void OnSnapshot(const std::vector<platform::KeyValueItem>& items, BootTime held_at) override;
+  void OnChanges(const std::vector<platform::KeyValueItem>& changes, BootTime held_at) override;
   void OnFeedLost(std::string_view reason) override;
   void OnFeedRegained(SteadyTime last_failed) override;
 
--- a/src/forward/forward_context.cc
+++ b/src/forward/forward_context.cc
@@ -14,8 +14,8 @@
 // larger deployment of today.
 constexpr double kRoutersSharingSlack = 16;
 
-// Part of the time after which keys are refused, up to which a confirmation counts as young. Two
-// watches of the configuration fit in, so one that is waiting does not make a router look stale.
+// Part of the time after which keys are refused, up to which a confirmation counts as young. A
+// watch of the configuration and a slow answer fit in.
 constexpr double kYoungShare = 0.6;
 
 }  // namespace
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -33,14 +33,19 @@
 // for a slow answer and a lost connection.
 constexpr double kEndpointPauseShare = 0.3;
 
-// A watch of the configuration confirms keys, which count as revoked some seconds after the last
-// confirmation. The platform expects them to be refused from three seconds without contact on, and
-// the last confirmation may be two watches old when contact is lost.
-constexpr std::chrono::milliseconds kConfigurationWatch = 1'000ms;
+// Part of the revocation bound that a watch of the configuration waits. A key is accepted for up to
+// the bound after the last confirmation, which is one watch old when contact is lost just before a
+// watch ends. The platform expects keys to be served for 0.6 of the bound without contact; the rest
+// is left for round trips and for the way of a request to its endpoint.
+constexpr double kConfigurationWatchShare = 0.34;
 
 // A watch of the endpoints confirms nothing and is priced like any call.
 constexpr std::chrono::milliseconds kEndpointWatch = 5'000ms;
 
+std::chrono::milliseconds ShareOf(std::chrono::milliseconds time, double share) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time * share);
+}
+
 }  // namespace
 
 /// \brief Answers readiness checks, metrics and state.
@@ -204,21 +209,21 @@
   m_caller_listener = std::make_unique<net::TcpListener>(
       loop, settings.listen_callers,
       [this](uv_stream_t* listener) { m_callers->m_sessions.Accept(*m_callers, listener); });
-  m_configuration_feed =
-      std::make_unique<PrefixFeed>(loop, clock, random, adapter.Codec(), metrics,
-                                   FeedSettings{.name = "configuration",
-                                                .address = settings.key_value,
-                                                .prefix = std::string(adapter.ConfigurationKey()),
-                                                .watch_time = kConfigurationWatch},
-                                   m_configuration_follower);
-  m_endpoint_feed = std::make_unique<PrefixFeed>(
+  m_configuration_feed = std::make_unique<PrefixFeed>(
       loop, clock, random, adapter.Codec(), metrics,
-      FeedSettings{.name = "endpoints",
+      FeedSettings{.name = "configuration",
                    .address = settings.key_value,
-                   .prefix = std::string(adapter.EndpointPrefix()),
-                   .watch_time = kEndpointWatch,
-                   .pause_after_change = std::chrono::duration_cast<std::chrono::milliseconds>(
-                       settings.bounds.endpoint_drain * kEndpointPauseShare)},
+                   .prefix = std::string(adapter.ConfigurationKey()),
+                   .watch_time = ShareOf(settings.bounds.key_revocation, kConfigurationWatchShare)},
+      m_configuration_follower);
+  m_endpoint_feed = std::make_unique<PrefixFeed>(
+      loop, clock, random, adapter.Codec(), metrics,
+      FeedSettings{
+          .name = "endpoints",
+          .address = settings.key_value,
+          .prefix = std::string(adapter.EndpointPrefix()),
+          .watch_time = kEndpointWatch,
+          .pause_after_change = ShareOf(settings.bounds.endpoint_drain, kEndpointPauseShare)},
       m_endpoint_follower);
   m_tick.StartPeriodic(kTickInterval);
 }
--- a/src/forward/prefix_feed.cc
+++ b/src/forward/prefix_feed.cc
@@ -24,6 +24,12 @@
 constexpr std::chrono::milliseconds kFirstBackoff = 100ms;
 constexpr std::chrono::milliseconds kMaxBackoff = 600ms;
 
+// The service may answer a wait of zero as if none were given.
+constexpr std::chrono::milliseconds kShortestWait = 1ms;
+
+// Timers of the service count in milliseconds and may end this much too early.
+constexpr std::chrono::milliseconds kTimerResolution = 2ms;
+
 constexpr int kOk = 200;
 constexpr int kGone = 410;
 
@@ -58,7 +64,7 @@
   m_body.clear();
   m_sent_at = m_clock.BootNow();
   m_call_began = m_clock.Now();
-  std::chrono::milliseconds wait{0};
+  m_wait = 0ms;
   std::string request;
   if (m_phase == Phase::kRange) {
     if (m_items.empty()) {
@@ -66,10 +72,10 @@
     }
     request = m_codec.RangeRequest(m_settings.prefix, m_items.empty() ? "" : m_items.back().key);
   } else {
-    wait = m_confirm_soon ? 1ms : m_settings.watch_time;
-    request = m_codec.WatchRequest(m_settings.prefix, m_after, wait);
+    m_wait = std::max(m_next_wait, kShortestWait);
+    request = m_codec.WatchRequest(m_settings.prefix, m_after, m_wait);
   }
-  m_timer.Start(wait + kAnswerTimeout);
+  m_timer.Start(m_wait + kAnswerTimeout);
   m_connection->Send(std::move(request), false, *this);
 }
 
@@ -133,7 +139,7 @@
   Count("failed");
   m_calling = false;
   m_connection.reset();
-  m_confirm_soon = true;
+  m_next_wait = 0ms;
   // Pages of an interrupted read may be far apart in time.
   m_items.clear();
   m_last_failed = m_call_began;
@@ -167,7 +173,7 @@
   }
   m_after = m_last_revision = m_snapshot_revision;
   m_phase = Phase::kWatch;
-  m_confirm_soon = false;
+  m_next_wait = m_settings.watch_time;
   const std::vector<platform::KeyValueItem> items = std::exchange(m_items, {});
   m_listener.OnSnapshot(items, m_snapshot_sent_at);
   CallAfter(0ms);
@@ -176,7 +182,13 @@
 void PrefixFeed::FinishWatch() {
   const platform::WatchPage page = m_codec.DecodeWatch(m_body);
   Succeeded();
-  m_confirm_soon = false;
+  const BootTime held_at = HeldAt(page);
+  m_next_wait = m_settings.watch_time;
+  if (!page.changes.empty() && m_settings.pause_after_change == 0ms) {
+    // The next watch ends when this one would have, so that the confirmation does not grow older.
+    m_next_wait -= std::min(m_wait, std::chrono::duration_cast<std::chrono::milliseconds>(
+                                        m_clock.Now() - m_call_began));
+  }
   // A watch may have missed changes just before the service drops its history. Continuing from
   // where the watch before it ended shows them again, or the loss of the history.
   m_after = std::max(m_after, m_last_revision);
@@ -184,10 +196,20 @@
   for (const platform::KeyValueItem& change : page.changes) {
     m_after = std::max(m_after, change.revision);
   }
-  m_listener.OnChanges(page.changes, m_sent_at);
+  m_listener.OnChanges(page.changes, held_at);
   CallAfter(page.changes.empty() ? 0ms : m_settings.pause_after_change);
 }
 
+// The service ends a watch without a change only after its wait, counted from its arrival. An
+// answer that comes sooner or later than that proves only what held when the watch was sent: it may
+// have been cut short, or have lain unread while this process was suspended.
+BootTime PrefixFeed::HeldAt(const platform::WatchPage& page) const noexcept {
+  const auto waited = m_wait - kTimerResolution;
+  const auto elapsed = m_clock.BootNow() - m_sent_at;
+  const bool was_held = waited > 0ms && elapsed >= waited && elapsed <= m_wait + kAnswerTimeout;
+  return page.changes.empty() && was_held ? m_sent_at + waited : m_sent_at;
+}
+
 void PrefixFeed::Resynchronise() {
   m_phase = Phase::kRange;
   m_items.clear();
--- a/src/forward/prefix_feed.h
+++ b/src/forward/prefix_feed.h
@@ -16,16 +16,17 @@
 
 namespace wagtailwind::forward {
 
-/// \brief Receives what a feed learns. `sent_at` is when the read was sent that showed it.
+/// \brief Receives what a feed learns. `held_at` is a time at which what is known by then was the
+/// newest.
 class FeedListener {
  public:
   virtual ~FeedListener() = default;
 
   /// \brief All keys of the prefix.
-  virtual void OnSnapshot(const std::vector<platform::KeyValueItem>& items, BootTime sent_at) = 0;
+  virtual void OnSnapshot(const std::vector<platform::KeyValueItem>& items, BootTime held_at) = 0;
 
   /// \brief Changes in order; none if the watch ended without one.
-  virtual void OnChanges(const std::vector<platform::KeyValueItem>& changes, BootTime sent_at) = 0;
+  virtual void OnChanges(const std::vector<platform::KeyValueItem>& changes, BootTime held_at) = 0;
 
   /// \brief The service does not answer.
   virtual void OnFeedLost(std::string_view reason) = 0;
@@ -42,7 +43,8 @@
   /// `ip:port` of the key-value service.
   std::string address;
   std::string prefix;
-  /// Longest wait of a watch. Bounds the age of the last confirmation.
+  /// Longest wait of a watch. While the service answers, the last confirmation is at most this and
+  /// two round trips old.
   std::chrono::milliseconds watch_time{1'400};
   /// Pause after a watch that brought changes, so that frequent writes share a call.
   std::chrono::milliseconds pause_after_change{0};
@@ -73,6 +75,7 @@
   void Failed(std::string_view reason);
   void FinishRange();
   void FinishWatch();
+  [[nodiscard]] BootTime HeldAt(const platform::WatchPage& page) const noexcept;
   void Resynchronise();
 
   [[nodiscard]] bool OnResponseHead(http1::MessageHead head) override;
@@ -95,6 +98,7 @@
   int m_status = 0;
   std::string m_body;
   BootTime m_sent_at{};
+  std::chrono::milliseconds m_wait{0};
   SteadyTime m_call_began{};
   SteadyTime m_last_failed{};
 
@@ -104,8 +108,8 @@
   platform::Revision m_after = 0;
   /// Of the service at the end of the last watch.
   platform::Revision m_last_revision = 0;
-  /// The next watch returns at once, to confirm what is known after a gap.
-  bool m_confirm_soon = false;
+  /// Wait of the next watch; zero after a gap, to confirm at once what is known.
+  std::chrono::milliseconds m_next_wait{0};
   bool m_lost = false;
   int m_failures = 0;
 };
--- a/tests/support/forwarder_fixture.cc
+++ b/tests/support/forwarder_fixture.cc
@@ -167,10 +167,18 @@
     watch.connection->Write(HttpText(200, "", std::to_string(m_revision) + "\n"));
     m_watches.remove_if([&watch](const Watch& entry) { return &entry == &watch; });
   });
-  watch.timer->Start(std::chrono::milliseconds(std::stoll(http::QueryParameter(query, "wait"))));
+  last_wait = std::chrono::milliseconds(std::stoll(http::QueryParameter(query, "wait")));
+  watch.timer->Start(last_wait);
   AnswerWatches();
 }
 
+void FakeStore::CutWatchesShort() {
+  for (const Watch& watch : m_watches) {
+    watch.connection->Write(HttpText(200, "", std::to_string(m_revision) + "\n"));
+  }
+  m_watches.clear();
+}
+
 void FakeStore::AnswerWatches() {
   if (m_fault != 0) {
     return;
--- a/tests/support/forwarder_fixture.h
+++ b/tests/support/forwarder_fixture.h
@@ -81,6 +81,9 @@
   /// \brief Forgets the history: watches from before get status 410.
   void DropHistory() { m_compacted = m_revision; }
 
+  /// \brief Ends all waiting watches before their time, without a change.
+  void CutWatchesShort();
+
   /// \brief Answers each call with this status; 0: as usual; below 0: not at all.
   void SetFault(int status) { m_fault = status; }
 
@@ -88,6 +91,8 @@
 
   /// Calls by their path.
   std::map<std::string, int> calls;
+  /// Of the last watch.
+  std::chrono::milliseconds last_wait{0};
 
  private:
   struct Change {
--- a/tests/unit/forward_prefix_feed_test.cc
+++ b/tests/unit/forward_prefix_feed_test.cc
@@ -16,16 +16,17 @@
 using testing::FakeStore;
 
 struct Listener final : forward::FeedListener {
-  void OnSnapshot(const std::vector<platform::KeyValueItem>& items, BootTime sent_at) override {
+  void OnSnapshot(const std::vector<platform::KeyValueItem>& items, BootTime held_at) override {
     ++snapshots;
     last_items = items.size();
-    confirmed_at = sent_at;
+    confirmed_at = held_at;
   }
-  void OnChanges(const std::vector<platform::KeyValueItem>& changes, BootTime sent_at) override {
+  void OnChanges(const std::vector<platform::KeyValueItem>& changes, BootTime held_at) override {
     for (const platform::KeyValueItem& change : changes) {
       keys.push_back((change.deleted ? "-" : "+") + change.key);
     }
-    confirmed_at = sent_at;
+    quiet_watches += changes.empty() ? 1 : 0;
+    confirmed_at = held_at;
   }
   void OnFeedLost(std::string_view) override { ++lost; }
   void OnFeedRegained(SteadyTime last_failed) override {
@@ -36,6 +37,7 @@
   int snapshots = 0;
   std::size_t last_items = 0;
   std::vector<std::string> keys;
+  int quiet_watches = 0;
   int lost = 0;
   int regained = 0;
   SteadyTime failed_at{};
@@ -116,8 +118,8 @@
   cr_assert(fixture.RunUntil([&] { return fixture.listener.snapshots == 1; }));
 }
 
-// Guards against a confirmation that is as young as the answer: what it shows may have changed
-// since the call was sent.
+// Guards against a confirmation that is as young as an answer with changes: others may have
+// followed since the service wrote it.
 Test(prefix_feed, confirms_from_the_time_of_sending) {
   Fixture fixture;
   fixture.Start();
@@ -128,3 +130,50 @@
   cr_assert(fixture.RunUntil([&] { return !fixture.listener.keys.empty(); }));
   cr_assert(fixture.listener.confirmed_at < before_change + 50ms);
 }
+
+// Guards against keys that are refused too early when contact is lost: a watch that the service
+// held to its end without a change proves what held at its end.
+Test(prefix_feed, confirms_up_to_the_end_of_a_quiet_watch) {
+  Fixture fixture;
+  const BootTime before = fixture.clock.BootNow();
+  fixture.Start();
+  cr_assert(fixture.RunUntil([&] { return fixture.listener.quiet_watches == 1; }));
+  constexpr auto kResolution = 5ms;
+  cr_assert(fixture.listener.confirmed_at >=
+            before + forward::FeedSettings{}.watch_time - kResolution);
+}
+
+// Guards against revoked keys that stay valid for longer: an answer that lay unread while the
+// process was suspended proves nothing about the time of the suspension.
+Test(prefix_feed, confirms_nothing_of_the_time_of_a_suspension) {
+  Fixture fixture;
+  fixture.Start();
+  cr_assert(fixture.RunUntil([&] { return fixture.store.calls["/watch"] == 1; }));
+  const BootTime before = fixture.clock.BootNow();
+  fixture.clock.Suspend(10s);
+  cr_assert(fixture.RunUntil([&] { return fixture.listener.quiet_watches == 1; }));
+  cr_assert(fixture.listener.confirmed_at <= before);
+}
+
+// Guards against the same when the service ends a watch before its time.
+Test(prefix_feed, confirms_nothing_by_a_watch_that_was_cut_short) {
+  Fixture fixture;
+  fixture.Start();
+  cr_assert(fixture.RunUntil([&] { return fixture.store.calls["/watch"] == 1; }));
+  const BootTime before = fixture.clock.BootNow();
+  fixture.store.CutWatchesShort();
+  cr_assert(fixture.RunUntil([&] { return fixture.listener.quiet_watches == 1; }));
+  cr_assert(fixture.listener.confirmed_at <= before);
+}
+
+// Guards against a confirmation of nearly two watches' age, which takes a router out of service,
+// after a watch that ended late with a change.
+Test(prefix_feed, ends_the_next_watch_when_the_one_with_a_change_would_have_ended) {
+  Fixture fixture;
+  fixture.Start();
+  cr_assert(fixture.RunUntil([&] { return fixture.store.calls["/watch"] == 1; }));
+  fixture.loop.RunFor(200ms);
+  fixture.store.Put("endpoint/a", "1");
+  cr_assert(fixture.RunUntil([&] { return fixture.store.calls["/watch"] == 2; }));
+  cr_assert(fixture.store.last_wait <= forward::FeedSettings{}.watch_time - 200ms);
+}
