Make the lists of usable endpoints when they are read

Cause: each entry that was put or removed rebuilt the lists of all services, so that reading n entries at the start, or a release of n endpoints, took n passes over n endpoints.

--- a/src/forward/endpoint_registry.cc
+++ b/src/forward/endpoint_registry.cc
@@ -3,6 +3,8 @@
 #include <set>
 #include <utility>
 
+#include "core/mutant.h"
+
 namespace wagtailwind::forward {
 
 namespace {
@@ -45,13 +47,14 @@
     endpoint->record = record;
     endpoint->usable = !record.draining;
     m_entries.emplace(record.name.value(), Entry{.endpoint = std::move(endpoint)});
-    Rebuild();
+    m_lists_outdated = true;
     return;
   }
   Endpoint& endpoint = *found->second.endpoint;
   found->second.lapsed_until.reset();
   // A process that drains never takes new work again; an older entry must not bring it back.
-  const bool draining = endpoint.record.draining || record.draining;
+  const bool draining =
+      (endpoint.record.draining || record.draining) && !MutantIs("forwarder_ignores_draining");
   const bool changed = draining != endpoint.record.draining ||
                        record.service != endpoint.record.service ||
                        record.models != endpoint.record.models;
@@ -59,7 +62,7 @@
   endpoint.record.draining = draining;
   if (changed) {
     endpoint.usable = endpoint.usable && !draining;
-    Rebuild();
+    m_lists_outdated = true;
   }
 }
 
@@ -78,7 +81,7 @@
     return;
   }
   Remove(found);
-  Rebuild();
+  m_lists_outdated = true;
 }
 
 void EndpointRegistry::Replace(const std::vector<EndpointRecord>& records, SteadyTime now) {
@@ -123,7 +126,7 @@
     }
   }
   if (changed) {
-    Rebuild();
+    m_lists_outdated = true;
   }
 }
 
@@ -131,15 +134,17 @@
   const auto found = m_entries.find(name.value());
   if (found != m_entries.end() && found->second.endpoint->usable) {
     found->second.endpoint->usable = false;
-    Rebuild();
+    m_lists_outdated = true;
   }
 }
 
 const std::vector<EndpointPtr>& EndpointRegistry::Usable(std::string_view service) const {
+  RefreshLists();
   return Find(m_usable, service);
 }
 
 const std::vector<EndpointPtr>& EndpointRegistry::Draining(std::string_view service) const {
+  RefreshLists();
   return Find(m_draining, service);
 }
 
@@ -152,7 +157,12 @@
   }
 }
 
-void EndpointRegistry::Rebuild() {
+// Lists are made when they are next read: a router that starts learns thousands of entries at once,
+// and one pass for each of them would keep it from serving for seconds.
+void EndpointRegistry::RefreshLists() const {
+  if (!std::exchange(m_lists_outdated, false)) {
+    return;
+  }
   m_usable.clear();
   m_draining.clear();
   for (const auto& [name, entry] : m_entries) {
--- a/src/forward/endpoint_registry.h
+++ b/src/forward/endpoint_registry.h
@@ -59,12 +59,14 @@
   };
 
   void Remove(std::map<std::string, Entry, std::less<>>::iterator entry);
-  void Rebuild();
+  void RefreshLists() const;
 
   std::function<void(const EndpointPtr&)> m_on_removed;
   std::map<std::string, Entry, std::less<>> m_entries;
-  std::map<std::string, std::vector<EndpointPtr>, std::less<>> m_usable;
-  std::map<std::string, std::vector<EndpointPtr>, std::less<>> m_draining;
+  /// Made from the entries; the flag tells that they no longer match.
+  mutable std::map<std::string, std::vector<EndpointPtr>, std::less<>> m_usable;
+  mutable std::map<std::string, std::vector<EndpointPtr>, std::less<>> m_draining;
+  mutable bool m_lists_outdated = false;
   bool m_service_lost = false;
   /// When the service was last known to be away.
   SteadyTime m_last_lost{};
