Add a fault soak of forwarders and endpoints as processes

A ledger of what callers and endpoints see checks the promises each second. The fake key-value service takes the wire form as a parameter, so that unit tests and soak share it.

--- a/src/forward/configuration_follower.cc
+++ b/src/forward/configuration_follower.cc
@@ -2,6 +2,7 @@
 
 #include <chrono>
 
+#include "core/mutant.h"
 #include "forward/log_events.h"
 
 namespace wagtailwind::forward {
@@ -29,7 +30,8 @@
 }
 
 bool ConfigurationFollower::Take(const platform::KeyValueItem& item) {
-  if (item.revision <= m_revision) {
+  if (item.revision <= m_revision ||
+      (m_revision != 0 && MutantIs("forwarder_keeps_first_configuration"))) {
     return true;
   }
   m_revision = item.revision;
--- a/src/forward/forward_context.cc
+++ b/src/forward/forward_context.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/mutant.h"
+
 namespace wagtailwind::forward {
 
 namespace {
@@ -31,6 +33,13 @@
   const requests::RetryBudgetSettings settings{
       .tokens_per_request = bounds.retry_ratio * kUsedRatio,
       .capacity = bounds.retry_slack / kRoutersSharingSlack};
+  if (MutantIs("forwarder_has_no_retry_budget")) {
+    constexpr double kEnough = 1e6;
+    return retry_budgets
+        .try_emplace(service.value(),
+                     requests::RetryBudgetSettings{.tokens_per_request = 1, .capacity = kEnough})
+        .first->second;
+  }
   return retry_budgets.try_emplace(service.value(), settings).first->second;
 }
 
--- a/src/forward/forward_task.cc
+++ b/src/forward/forward_task.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/hash.h"
+#include "core/mutant.h"
 #include "forward/endpoint_ranking.h"
 #include "forward/header_rules.h"
 #include "forward/task_common.h"
@@ -72,7 +73,9 @@
   if (!FindEndpoints()) {
     return;
   }
-  m_limit_timer.Start(TimeLeft());
+  if (!MutantIs("forwarder_has_no_time_limit")) {
+    m_limit_timer.Start(TimeLeft());
+  }
   Follow(m_decision->Begin());
 }
 
@@ -106,8 +109,9 @@
     RefuseUnknown(FailureReason::kUnknownApiKey);
     return false;
   }
-  if (m_context.confirmation.Age(m_context.clock.BootNow()) >
-      m_context.bounds.key_revocation - kRevocationMargin) {
+  const bool is_confirmed = m_context.confirmation.Age(m_context.clock.BootNow()) <=
+                            m_context.bounds.key_revocation - kRevocationMargin;
+  if (!is_confirmed && !MutantIs("forwarder_accepts_unconfirmed_keys")) {
     Refuse(detail::kStatusUnavailable, FailureReason::kApiKeyNotConfirmed, kRetryWhenNotConfirmed);
     return false;
   }
@@ -206,7 +210,7 @@
     candidates.push_back({endpoint->record.name, endpoint->record.address});
   }
   router::RequestPolicy policy;
-  policy.repeatable = m_route->IsRepeatable();
+  policy.repeatable = m_route->IsRepeatable() || MutantIs("forwarder_repeats_all_calls");
   policy.max_admitted = kMaxCandidates;
   policy.candidates = {.max_candidates = kMaxCandidates, .max_last_resorts = 0};
   policy.max_sent = m_route->max_attempts;
--- a/src/forward/forward_task_answer.cc
+++ b/src/forward/forward_task_answer.cc
@@ -2,6 +2,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "core/mutant.h"
 #include "forward/forward_task.h"
 #include "forward/header_rules.h"
 #include "forward/log_events.h"
@@ -150,7 +151,8 @@
 
 void ForwardTask::OnEvent(std::string_view event, std::optional<std::uint64_t> id) {
   // A resumed stream may repeat events that the caller has.
-  if (id && m_last_event_id && *id <= *m_last_event_id) {
+  if (id && m_last_event_id && *id <= *m_last_event_id &&
+      !MutantIs("forwarder_resumes_from_the_start")) {
     return;
   }
   const SteadyTime now = m_context.clock.Now();
@@ -271,6 +273,10 @@
     OnResponseEnd(false);
     return;
   }
+  if (m_kind != AnswerKind::kNone && MutantIs("forwarder_takes_cut_answer_as_whole")) {
+    OnResponseEnd(false);
+    return;
+  }
   if (end == http1::ConnectionEnd::kNotConnected) {
     const EndpointPtr endpoint = m_connection->endpoint;
     LogFailedAttempt(endpoint, http1::ToText(end), {"detail", detail});
@@ -361,8 +367,10 @@
     Close(m_failure->first.status, requests::ToText(step.outcome), step.reason);
     return;
   }
-  const int status =
-      step.reason == FailureReason::kDeadlineExceeded ? kGatewayTimeout : kBadGateway;
+  int status = step.reason == FailureReason::kDeadlineExceeded ? kGatewayTimeout : kBadGateway;
+  if (MutantIs("forwarder_refuses_what_may_have_run")) {
+    status = detail::kStatusUnavailable;
+  }
   if (m_sink != nullptr) {
     m_sink->Respond(status, {{m_context.names.attempt_id, std::string(m_id)}}, {});
   }
@@ -419,7 +427,8 @@
   m_sink = nullptr;
   // A call that runs at most once is let finish: breaking it off would leave its effect in doubt
   // and save little.
-  const bool goes_on = m_route && m_route->kind == RequestKind::kNonIdempotent && m_sent;
+  const bool may_go_on = m_route && m_route->kind == RequestKind::kNonIdempotent && m_sent;
+  const bool goes_on = may_go_on || MutantIs("forwarder_goes_on_without_caller");
   Log(kCallerLeft,
       {{"id", m_id},
        {"attempts", m_decision ? m_decision->attempts() : 0},
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/mutant.h"
 #include "forward/forward_task.h"
 #include "forward/log_events.h"
 #include "forward/session_table.h"
@@ -275,6 +276,10 @@
   }
   m_stop_began = m_context.clock.Now();
   Log(kForwarderStopping, {{"sessions", m_callers->m_sessions.Size()}});
+  if (MutantIs("forwarder_stops_at_once")) {
+    ForceStop();
+    return;
+  }
   m_stop_timer.Start(kListenWhileStopping);
 }
 
--- a/src/forward/prefix_feed.cc
+++ b/src/forward/prefix_feed.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/mutant.h"
+
 namespace wagtailwind::forward {
 
 namespace {
@@ -152,6 +154,9 @@
     m_lost = true;
     m_listener.OnFeedLost(reason);
   }
+  if (MutantIs("forwarder_gives_up_reading")) {
+    return;
+  }
   constexpr int kMaxDoublings = 8;
   const auto ceiling =
       std::min(kMaxBackoff, kFirstBackoff * (1 << std::min(m_failures - 2, kMaxDoublings)));
--- /dev/null
+++ b/tests/soak/deployment_wire.cc
@@ -0,0 +1,99 @@
+#include "soak/deployment_wire.h"
+
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "absl/strings/escaping.h"
+#include "http/message.h"
+
+namespace wagtailwind::soak {
+
+namespace {
+
+using nlohmann::json;
+using testing::StoreCall;
+
+std::string_view KindName(forward::RequestKind kind) {
+  switch (kind) {
+    case forward::RequestKind::kIdempotent:
+      return "idempotent";
+    case forward::RequestKind::kStream:
+      return "stream";
+    case forward::RequestKind::kNonIdempotent:
+      break;
+  }
+  return "non_idempotent";
+}
+
+}  // namespace
+
+std::string EncodeConfiguration(const OperatorConfiguration& configuration) {
+  json document = {
+      {"Version", configuration.version}, {"Routes", json::array()}, {"Services", json::array()}};
+  std::set<std::string> services;
+  for (const forward::Route& route : configuration.routes) {
+    const std::string& service = route.services.front().service.value();
+    services.insert(service);
+    document["Routes"].push_back({{"Name", route.name},
+                                  {"Host", route.host},
+                                  {"Prefix", route.prefix},
+                                  {"Kind", KindName(route.kind)},
+                                  {"TimeoutMs", route.timeout.count()},
+                                  {"SloMs", route.objective.count()},
+                                  {"Attempts", route.max_attempts},
+                                  {"Resumable", route.resumable},
+                                  {"Service", service}});
+  }
+  for (const std::string& service : services) {
+    document["Services"].push_back({{"Name", service}, {"MaxConns", 0}});
+  }
+  document["Tenants"] = json::array({{{"Name", "soak"}, {"ApiKeys", configuration.api_keys}}});
+  return document.dump();
+}
+
+std::string EncodeEndpoint(const std::string& service, const std::string& address, bool draining,
+                           std::uint64_t incarnation) {
+  return json{{"Service", service}, {"Addr", address}, {"Zone", "zone-1"},
+              {"Version", "v1"},    {"Slots", 32},     {"State", draining ? "draining" : "ready"},
+              {"ColdLeftMs", 0},    {"Seq", 1},        {"born", incarnation}}
+      .dump();
+}
+
+StoreCall DeploymentStoreWire::ParseCall(const std::string& target) const {
+  const std::size_t question = target.find('?');
+  const std::string_view query = std::string_view(target).substr(question + 1);
+  StoreCall call;
+  call.path = target.substr(0, question);
+  call.kind = call.path == "/api/kv-watch" ? StoreCall::Kind::kWatch : StoreCall::Kind::kRange;
+  call.prefix = http::QueryParameter(query, "Prefix");
+  if (call.kind == StoreCall::Kind::kWatch) {
+    call.after = std::stoull(http::QueryParameter(query, "SinceRev"));
+    call.wait = std::chrono::milliseconds(std::stoll(http::QueryParameter(query, "WaitMs")));
+  }
+  return call;
+}
+
+std::string DeploymentStoreWire::EncodePage(StoreCall::Kind kind,
+                                            const std::vector<platform::KeyValueItem>& items,
+                                            platform::Revision revision) const {
+  json list = json::array();
+  for (const platform::KeyValueItem& item : items) {
+    json object = {{"Key", item.key}, {"Rev", item.revision}};
+    if (item.deleted) {
+      object["Deleted"] = true;
+    } else {
+      object["Value"] = absl::Base64Escape(item.value);
+    }
+    list.push_back(std::move(object));
+  }
+  json document = {{"StoreRevision", revision}};
+  if (kind == StoreCall::Kind::kRange) {
+    document["Items"] = std::move(list);
+    document["HasMore"] = false;
+  } else {
+    document["events"] = std::move(list);
+  }
+  return document.dump();
+}
+
+}  // namespace wagtailwind::soak
--- /dev/null
+++ b/tests/soak/deployment_wire.h
@@ -0,0 +1,39 @@
+#ifndef WAGTAILWIND_TESTS_SOAK_DEPLOYMENT_WIRE_H_
+#define WAGTAILWIND_TESTS_SOAK_DEPLOYMENT_WIRE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "forward/routing.h"
+#include "support/fake_store.h"
+
+namespace wagtailwind::soak {
+
+/// \brief What the operator of a soak configures.
+struct OperatorConfiguration {
+  std::uint64_t version = 0;
+  std::vector<forward::Route> routes;
+  /// All belong to the organisation `soak`.
+  std::vector<std::string> api_keys;
+};
+
+/// \brief Records in the form that the deployment's adapter decodes.
+[[nodiscard]] std::string EncodeConfiguration(const OperatorConfiguration& configuration);
+[[nodiscard]] std::string EncodeEndpoint(const std::string& service, const std::string& address,
+                                         bool draining, std::uint64_t incarnation);
+
+/// \brief The key-value service's side of the deployment's protocol.
+class DeploymentStoreWire final : public testing::StoreWire {
+ public:
+  [[nodiscard]] testing::StoreCall ParseCall(const std::string& target) const override;
+  [[nodiscard]] std::string EncodePage(testing::StoreCall::Kind kind,
+                                       const std::vector<platform::KeyValueItem>& items,
+                                       platform::Revision revision) const override;
+};
+
+}  // namespace wagtailwind::soak
+
+#endif  // WAGTAILWIND_TESTS_SOAK_DEPLOYMENT_WIRE_H_
--- /dev/null
+++ b/tests/soak/soak_endpoint_main.cc
@@ -0,0 +1,220 @@
+// An endpoint of the soak: answers calls and streams over the deployment's protocol, and appends
+// what it runs to a file that outlives it.
+
+#include <fcntl.h>
+#include <signal.h>
+#include <unistd.h>
+
+#include <cxxopts.hpp>
+#include <iostream>
+#include <list>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "core/clock.h"
+#include "forward/deployment_adapter.h"
+#include "http/message.h"
+#include "net/event_loop.h"
+#include "platform/adapter.h"
+#include "soak/answer_text.h"
+#include "support/scripted_server.h"
+
+namespace wagtailwind::soak {
+
+namespace {
+
+using testing::HttpText;
+using testing::ScriptedServer;
+using Connection = ScriptedServer::Connection;
+
+constexpr int kOk = 200;
+constexpr int kMisdirected = 421;
+constexpr int kServerError = 500;
+constexpr int kUnavailable = 503;
+
+std::uint64_t Number(std::string_view text) {
+  return text.empty() ? 0 : std::stoull(std::string(text));
+}
+
+class Endpoint {
+ public:
+  Endpoint(net::EventLoop& loop, std::string name, const std::string& log)
+      : m_loop(loop),
+        m_name(std::move(name)),
+        m_log(open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644)),
+        m_server(loop, [this](Connection& connection) { Handle(connection); }) {}
+  ~Endpoint() { close(m_log); }
+  Endpoint(const Endpoint&) = delete;
+  Endpoint& operator=(const Endpoint&) = delete;
+
+  [[nodiscard]] std::string Address() const { return m_server.Address(); }
+
+ private:
+  /// A request that is being worked on.
+  struct Run {
+    Connection* connection = nullptr;
+    std::string attempt;
+    bool stream = false;
+    bool head_sent = false;
+    std::size_t next = 1;
+    std::size_t size = 0;
+    std::chrono::milliseconds pause{0};
+    std::unique_ptr<net::Timer> timer;
+  };
+
+  // One write for each line, so that a kill leaves whole lines.
+  void Record(std::string_view event, const std::string& rest) const {
+    const std::string line = std::to_string(SystemClock().Now().time_since_epoch().count()) + " " +
+                             m_name + " " + std::string(event) + " " + rest + "\n";
+    if (write(m_log, line.data(), line.size()) < 0) {
+      std::cerr << "soak_endpoint: the record can't be written\n";
+    }
+  }
+
+  [[nodiscard]] std::string Signed(const std::string& attempt) const {
+    return m_names.signature + ": " + m_name + "\r\n" + m_names.attempt_id + ": " + attempt +
+           "\r\n" + m_names.load + ": " + std::to_string(m_runs.size()) + ",0,32\r\n";
+  }
+
+  void Refuse(Connection& connection, int status) const {
+    Record("refuse", std::string(http::FindHeader(connection.head.headers, m_names.attempt_id)));
+    connection.Write(HttpText(status, m_names.not_run + ": 1\r\n", ""));
+  }
+
+  void Handle(Connection& connection) {
+    const http1::MessageHead& head = connection.head;
+    const auto field = [&head](const std::string& name) {
+      return std::string(http::FindHeader(head.headers, name));
+    };
+    const std::size_t question = head.target.find('?');
+    const std::string path = head.target.substr(0, question);
+    const std::string_view query = std::string_view(head.target).substr(question + 1);
+    if (path == "/control") {
+      m_mode = http::QueryParameter(query, "mode");
+      connection.Write(HttpText(kOk, "", ""));
+      return;
+    }
+    const std::string expected = field(m_names.expected_endpoint);
+    if (!expected.empty() && expected != m_name) {
+      Refuse(connection, kMisdirected);
+      return;
+    }
+    if (m_mode == "refuse") {
+      Refuse(connection, kUnavailable);
+      return;
+    }
+    Run& run = m_runs.emplace_back();
+    run.connection = &connection;
+    run.attempt = field(m_names.attempt_id);
+    run.stream = path.starts_with("/stream");
+    run.size = Number(http::QueryParameter(query, "size"));
+    run.pause = std::chrono::milliseconds(Number(http::QueryParameter(query, "pause")));
+    const std::string last_event = field("Last-Event-Id");
+    run.next = 1 + Number(last_event);
+    const bool leaks_key = !field(m_names.api_key).empty();
+    Record("run", run.attempt + " " + path + " " + field(m_names.organisation) + " " +
+                      (leaks_key ? "key" : "-") + " " + field(m_names.deadline));
+    run.timer = std::make_unique<net::Timer>(m_loop, [this, &run] { Step(run); });
+    run.timer->Start(run.pause);
+  }
+
+  void Step(Run& run) {
+    if (run.connection->closed()) {
+      End(run, "cancel");
+      return;
+    }
+    if (m_mode == "hang") {
+      run.timer->Start(run.pause);
+      return;
+    }
+    if (m_mode == "lose") {
+      run.connection->Close();
+      End(run, "lost");
+      return;
+    }
+    if (m_mode == "fail" && !run.head_sent) {
+      run.connection->Write(HttpText(kServerError, Signed(run.attempt), "failed"));
+      End(run, "failed");
+      return;
+    }
+    run.stream ? StepStream(run) : Answer(run);
+  }
+
+  void Answer(Run& run) {
+    const std::string text = HttpText(kOk, Signed(run.attempt), CallBody(run.attempt, run.size));
+    if (m_mode == "truncate") {
+      constexpr std::size_t kCutBytes = 5;
+      run.connection->Write(std::string_view(text).substr(0, text.size() - kCutBytes));
+      run.connection->Close();
+      End(run, "cut");
+      return;
+    }
+    run.connection->Write(text);
+    End(run, "end");
+  }
+
+  void StepStream(Run& run) {
+    if (!std::exchange(run.head_sent, true)) {
+      run.connection->Write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
+                            Signed(run.attempt) + "Transfer-Encoding: chunked\r\n\r\n");
+    }
+    if (run.next > run.size) {
+      run.connection->Write("0\r\n\r\n");
+      End(run, "end");
+      return;
+    }
+    const std::string event = StreamEvent(run.attempt, run.next);
+    char length[16];
+    snprintf(length, sizeof length, "%zx\r\n", event.size());
+    // A cut in the middle of an event.
+    if (m_mode == "truncate" && run.next * 2 > run.size) {
+      run.connection->Write(length + event.substr(0, event.size() / 2));
+      run.connection->Close();
+      End(run, "cut");
+      return;
+    }
+    run.connection->Write(length + event + "\r\n");
+    ++run.next;
+    run.timer->Start(run.pause);
+  }
+
+  void End(Run& run, std::string_view how) {
+    Record(how, run.attempt);
+    m_runs.remove_if([&run](const Run& entry) { return &entry == &run; });
+  }
+
+  net::EventLoop& m_loop;
+  const std::unique_ptr<forward::DeploymentAdapter> m_adapter = adapter::MakeAdapter();
+  const forward::WireNames& m_names = m_adapter->Names();
+  const std::string m_name;
+  const int m_log;
+  /// `fail`, `lose`, `truncate`, `refuse`, `hang`, or empty.
+  std::string m_mode;
+  std::list<Run> m_runs;
+  ScriptedServer m_server;
+};
+
+}  // namespace
+
+}  // namespace wagtailwind::soak
+
+int main(int argc, char** argv) {
+  cxxopts::Options options("soak_endpoint", "An endpoint of the soak.");
+  options.add_options()("name", "name in the list of endpoints", cxxopts::value<std::string>())(
+      "log", "file of what was run", cxxopts::value<std::string>());
+  try {
+    const auto arguments = options.parse(argc, argv);
+    signal(SIGPIPE, SIG_IGN);
+    wagtailwind::net::EventLoop loop;
+    const wagtailwind::soak::Endpoint endpoint(loop, arguments["name"].as<std::string>(),
+                                               arguments["log"].as<std::string>());
+    const wagtailwind::net::SignalWatcher stop(loop, SIGTERM, [&loop] { loop.Stop(); });
+    std::cout << endpoint.Address() << std::endl;
+    loop.Run();
+  } catch (const std::exception& error) {
+    std::cerr << "soak_endpoint: " << error.what() << '\n';
+    return 1;
+  }
+  return 0;
+}
--- /dev/null
+++ b/tests/soak/soak_fleet.cc
@@ -0,0 +1,495 @@
+#include "soak/soak_fleet.h"
+
+#include <unistd.h>
+
+#include <csignal>
+#include <fstream>
+#include <sstream>
+
+#include "support/raw_connection.h"
+
+namespace wagtailwind::soak {
+
+namespace {
+
+using namespace std::chrono_literals;
+using forward::RequestKind;
+using histories::Fault;
+using histories::FaultKind;
+
+constexpr const char* kConfigurationKey = "op/config";
+constexpr const char* kEndpointPrefix = "servers/";
+
+// An entry lapses after three heartbeats of 1.2 s.
+constexpr std::chrono::milliseconds kLapse = 3'600ms;
+
+// A new router reads the key-value service before it serves.
+constexpr std::chrono::milliseconds kStartTime = 500ms;
+
+// Callers learn after this time that a router stops.
+constexpr std::chrono::milliseconds kStopNotice = 1'000ms;
+
+// A draining endpoint serves until its streams have ended.
+constexpr std::chrono::milliseconds kDrainLeast = 6'500ms;
+constexpr std::chrono::milliseconds kDrainMost = 7'500ms;
+
+constexpr std::chrono::milliseconds kSlowStore = 300ms;
+constexpr int kUnavailable = 503;
+
+forward::Route MakeRoute(const std::string& name, RequestKind kind,
+                         std::chrono::milliseconds timeout, std::uint32_t attempts,
+                         const std::string& service, bool resumable = false) {
+  forward::Route route;
+  route.name = name;
+  route.host = "soak.example";
+  route.prefix = "/" + name + "/";
+  route.kind = kind;
+  route.timeout = timeout;
+  route.objective = 300ms;
+  route.max_attempts = attempts;
+  route.resumable = resumable;
+  route.services = {{.service = ServiceName(service)}};
+  return route;
+}
+
+/// First port of this run. Below the ports that the system gives to clients, which could take a
+/// port between its choice and the start of the router; runs beside each other begin at different
+/// ones.
+std::uint16_t FirstPort() {
+  constexpr int kLowest = 10'000;
+  constexpr int kRuns = 350;
+  constexpr int kPortsOfRun = 64;
+  return static_cast<std::uint16_t>(kLowest + getpid() % kRuns * kPortsOfRun);
+}
+
+LinkFault LinkFaultOf(const std::string& name) {
+  if (name == "delay") {
+    return LinkFault::kDelay;
+  }
+  if (name == "reset") {
+    return LinkFault::kReset;
+  }
+  if (name == "hold_up") {
+    return LinkFault::kHoldToServer;
+  }
+  return name == "hold_down" ? LinkFault::kHoldToClient : LinkFault::kSilence;
+}
+
+/// A planned stop excuses less than an unplanned end.
+Ledger::Scope TroubleOf(const std::string& what, std::size_t router) {
+  return what == "stop" ? Ledger::StopScope(router) : Ledger::RouterScope(router);
+}
+
+/// Splits `scope_what`.
+std::pair<std::string, std::string> SplitKind(const std::string& kind) {
+  const std::size_t separator = kind.find('_');
+  return {kind.substr(0, separator), kind.substr(separator + 1)};
+}
+
+}  // namespace
+
+SoakFleet::SoakFleet(net::EventLoop& loop, RandomSource& random, Ledger& ledger,
+                     SoakOptions options)
+    : m_loop(loop),
+      m_random(random),
+      m_ledger(ledger),
+      m_options(std::move(options)),
+      m_store(loop, m_wire),
+      m_next_port(FirstPort()) {
+  m_configuration.routes = {
+      MakeRoute("call", RequestKind::kNonIdempotent, 1'500ms, 3, "alpha"),
+      MakeRoute("look", RequestKind::kIdempotent, 1'500ms, 3, "alpha"),
+      MakeRoute("large", RequestKind::kIdempotent, 3'000ms, 3, "alpha"),
+      MakeRoute("stream", RequestKind::kStream, 6'000ms, 3, "beta", true),
+      MakeRoute("stream-once", RequestKind::kStream, 6'000ms, 1, "beta"),
+      MakeRoute("move", RequestKind::kIdempotent, 1'500ms, 2, "alpha"),
+  };
+  ChangeConfiguration();
+  for (const char* service : {"alpha", "beta"}) {
+    for (std::size_t i = 0; i < m_options.endpoints; ++i) {
+      auto endpoint = std::make_unique<Endpoint>();
+      endpoint->name = std::string(service) + "-" + std::to_string(i);
+      endpoint->service = service;
+      endpoint->link = std::make_unique<LinkProxy>(loop);
+      StartEndpoint(*endpoint);
+      m_endpoints.push_back(std::move(endpoint));
+    }
+  }
+  m_routers.resize(m_options.routers);
+  for (std::size_t i = 0; i < m_routers.size(); ++i) {
+    m_routers[i].store_link = std::make_unique<LinkProxy>(loop);
+    m_routers[i].store_link->SetServer(m_store.Address());
+    m_routers[i].settings_path = m_options.folder + "/router-" + std::to_string(i) + ".yaml";
+    StartRouter(i);
+  }
+}
+
+void SoakFleet::After(std::chrono::milliseconds delay, std::function<void()> function) {
+  m_later.emplace_back(m_loop, std::move(function)).Start(delay);
+}
+
+void SoakFleet::SetTrouble(const std::string& scope, bool begins) {
+  begins ? m_ledger.OnTroubleBegin(scope, m_clock.Now())
+         : m_ledger.OnTroubleEnd(scope, m_clock.Now());
+}
+
+std::string SoakFleet::FreeAddress() {
+  while (true) {
+    const std::string address = "127.0.0.1:" + std::to_string(m_next_port++);
+    try {
+      const net::TcpListener probe(m_loop, address, [](uv_stream_t*) {});
+      return address;
+    } catch (const net::SocketFailed&) {
+      // In use: the next one may be free.
+    }
+  }
+}
+
+void SoakFleet::StartRouter(std::size_t index) {
+  Router& router = m_routers[index];
+  const SoakBounds bounds;
+  router.address = FreeAddress();
+  std::ofstream(router.settings_path)
+      << "role: forwarder\ninstance:\n  name: router-" << index
+      << "\n  availability_zone: zone-1\n  memory: 128MiB\nlisten:\n  callers: " << router.address
+      << "\n  admin: " << FreeAddress()
+      << "\nplatform:\n  key_value: " << router.store_link->Address()
+      << "\nbounds:\n  key_revocation: " << bounds.key_revocation.count()
+      << "ms\n  configuration: " << bounds.configuration.count()
+      << "ms\n  endpoint_drain: " << bounds.endpoint_drain.count()
+      << "ms\n  grace: " << bounds.grace.count() << "ms\n  retry_ratio: " << bounds.retry_ratio
+      << "\n  retry_slack: " << bounds.retry_slack << "\nlog:\n  level: info\n";
+  const std::string log = m_options.folder + "/router-" + std::to_string(index) + ".log";
+  std::string program = std::string(WAGTAILWIND_BINARY_DIR) + "/wagtailwind-forwarder";
+  if (!m_options.mutant.empty()) {
+    program += "_mutants";
+  }
+  router.process = std::make_unique<testing::ChildProcess>(
+      std::vector<std::string>{program, "--config", router.settings_path}, log, log);
+  router.started = m_clock.Now();
+  router.ending = false;
+}
+
+void SoakFleet::StartEndpoint(Endpoint& endpoint) {
+  endpoint.process = std::make_unique<testing::ChildProcess>(std::vector<std::string>{
+      std::string(WAGTAILWIND_BINARY_DIR) + "/tests/soak_endpoint", "--name", endpoint.name,
+      "--log", m_options.folder + "/endpoints.log"});
+  endpoint.address = endpoint.process->ReadLine();
+  endpoint.link->SetServer(endpoint.address);
+  endpoint.draining = false;
+  endpoint.ending = false;
+  ++m_incarnation;
+  m_ledger.OnEndpointStarted(endpoint.name);
+  PutEndpoint(endpoint);
+}
+
+void SoakFleet::PutEndpoint(const Endpoint& endpoint) {
+  m_store.Put(
+      kEndpointPrefix + endpoint.name,
+      EncodeEndpoint(endpoint.service, endpoint.link->Address(), endpoint.draining, m_incarnation));
+}
+
+void SoakFleet::ChangeConfiguration() {
+  if (m_store_faults > 0) {
+    return;
+  }
+  const std::string old_key = "key-" + std::to_string(m_configuration.version);
+  ++m_configuration.version;
+  const std::string service = m_configuration.version % 2 == 0 ? "beta" : "alpha";
+  m_configuration.routes.back().services = {{.service = ServiceName(service)}};
+  m_configuration.api_keys = {"key-main", "key-" + std::to_string(m_configuration.version)};
+  m_store.Put(kConfigurationKey, EncodeConfiguration(m_configuration));
+  m_ledger.OnConfiguration(service, m_clock.Now());
+  m_ledger.OnKeyRevoked(old_key, m_clock.Now());
+}
+
+std::optional<std::pair<std::size_t, std::string>> SoakFleet::PickRouter() {
+  std::vector<std::size_t> open;
+  for (std::size_t i = 0; i < m_routers.size(); ++i) {
+    if (m_routers[i].down == 0 && m_clock.Now() > m_routers[i].started + kStartTime) {
+      open.push_back(i);
+    }
+  }
+  if (open.empty()) {
+    return std::nullopt;
+  }
+  const std::size_t index = open[m_random.Below(open.size())];
+  return std::pair(index, m_routers[index].address);
+}
+
+SoakRequest SoakFleet::NextRequest() {
+  // Parts of a hundred.
+  struct Share {
+    std::size_t route;
+    std::uint64_t percent;
+    std::size_t size;
+  };
+  constexpr Share kShares[] = {{0, 30, 20}, {1, 25, 20}, {2, 5, 20'000},
+                               {3, 20, 30}, {4, 5, 30},  {5, 15, 20}};
+  constexpr std::uint64_t kPercent = 100;
+  constexpr std::uint64_t kOldKeyPercent = 15;
+  std::uint64_t draw = m_random.Below(kPercent);
+  const Share* share = kShares;
+  while (draw >= share->percent) {
+    draw -= share->percent;
+    ++share;
+  }
+  const forward::Route& route = m_configuration.routes[share->route];
+  SoakRequest request;
+  request.attempt = "s" + std::to_string(m_options.seed) + "r" + std::to_string(++m_requests);
+  request.prefix = route.prefix;
+  request.kind = route.kind;
+  request.timeout = route.timeout;
+  request.size = share->size;
+  request.api_key = "key-main";
+  if (m_random.Below(kPercent) < kOldKeyPercent) {
+    constexpr std::uint64_t kRecentVersions = 4;
+    const std::uint64_t back = m_random.Below(kRecentVersions);
+    request.api_key =
+        "key-" + std::to_string(m_configuration.version - std::min(back, m_configuration.version));
+  }
+  return request;
+}
+
+std::vector<FaultKind> SoakFleet::PlannedKinds() const {
+  return {{.name = "router_stop", .targets = m_routers.size()},
+          {.name = "router_reload", .targets = m_routers.size()},
+          {.name = "endpoint_drain",
+           .targets = m_endpoints.size(),
+           .weight = 2,
+           .shortest = kDrainLeast,
+           .longest = kDrainMost}};
+}
+
+std::vector<FaultKind> SoakFleet::Kinds() const {
+  std::vector<FaultKind> kinds = {
+      {.name = "router_kill", .shortest = 300ms, .longest = 2'000ms},
+      {.name = "router_pause", .shortest = 200ms, .longest = 4'000ms},
+      {.name = "router_stop", .weight = 2},
+      {.name = "router_reload"},
+      {.name = "endpoint_kill", .shortest = 500ms, .longest = 5'000ms},
+      {.name = "endpoint_pause", .shortest = 300ms, .longest = 3'000ms},
+      {.name = "endpoint_drain", .weight = 2, .shortest = kDrainLeast, .longest = kDrainMost},
+  };
+  for (const char* mode : {"fail", "lose", "truncate", "refuse", "hang"}) {
+    kinds.push_back(
+        {.name = std::string("endpoint_") + mode, .shortest = 500ms, .longest = 3'000ms});
+  }
+  for (const char* fault : {"delay", "reset", "hold_up", "hold_down", "silence"}) {
+    kinds.push_back(
+        {.name = std::string("endpointlink_") + fault, .shortest = 300ms, .longest = 3'000ms});
+    kinds.push_back(
+        {.name = std::string("storelink_") + fault, .shortest = 300ms, .longest = 9'000ms});
+  }
+  for (const char* mode : {"fail", "refuse"}) {
+    kinds.push_back(
+        {.name = std::string("service_") + mode, .shortest = 1'000ms, .longest = 3'000ms});
+  }
+  kinds.push_back({.name = "store_down", .shortest = 500ms, .longest = 4'000ms});
+  kinds.push_back({.name = "store_silent", .shortest = 500ms, .longest = 9'000ms});
+  kinds.push_back({.name = "store_slow", .shortest = 500ms, .longest = 4'000ms});
+  kinds.push_back({.name = "store_history"});
+  kinds.push_back({.name = "store_cut"});
+  for (FaultKind& kind : kinds) {
+    const std::string scope = SplitKind(kind.name).first;
+    if (scope == "router" || scope == "storelink") {
+      kind.targets = m_options.routers;
+    } else if (scope == "endpoint" || scope == "endpointlink") {
+      kind.targets = m_endpoints.size();
+    } else if (scope == "service") {
+      kind.targets = 2;
+    }
+  }
+  return kinds;
+}
+
+void SoakFleet::BeginRouter(const std::string& what, std::size_t index) {
+  Router& router = m_routers[index];
+  if (what == "reload") {
+    // Before its main function runs, no program can keep the signal from ending it.
+    if (m_clock.Now() > router.started + kStartTime) {
+      router.process->Signal(SIGHUP);
+    }
+    return;
+  }
+  SetTrouble(TroubleOf(what, index), true);
+  if (what == "stop") {
+    router.ending = true;
+    router.process->Signal(SIGTERM);
+    After(kStopNotice, [&router] { ++router.down; });
+    return;
+  }
+  ++router.down;
+  if (what == "kill") {
+    router.ending = true;
+    router.process->Signal(SIGKILL);
+  } else {
+    router.process->Signal(SIGSTOP);
+  }
+}
+
+void SoakFleet::EndRouter(const std::string& what, std::size_t index) {
+  Router& router = m_routers[index];
+  if (what == "reload") {
+    return;
+  }
+  if (what == "pause") {
+    router.process->Signal(SIGCONT);
+    --router.down;
+    SetTrouble(Ledger::RouterScope(index), false);
+    return;
+  }
+  if (router.ending && !router.process->HasEnded()) {
+    // A stop lasts as long as the requests in flight do.
+    After(100ms, [this, what, index] { EndRouter(what, index); });
+    return;
+  }
+  // Of two faults that ended the same process, the first to notice starts it again.
+  if (router.ending) {
+    StartRouter(index);
+  }
+  // A stop may end before callers have noticed it.
+  After(what == "stop" ? kStopNotice : 0ms, [&router] { --router.down; });
+  After(kStartTime + kStopNotice,
+        [this, what, index] { SetTrouble(TroubleOf(what, index), false); });
+}
+
+void SoakFleet::SetMode(const Endpoint& endpoint, const std::string& mode) {
+  if (endpoint.ending) {
+    return;
+  }
+  const testing::RawConnection control(endpoint.address);
+  control.Write("POST /control?mode=" + mode +
+                " HTTP/1.1\r\nHost: soak\r\nContent-Length: 0\r\n\r\n");
+}
+
+void SoakFleet::BeginEndpoint(const std::string& what, Endpoint& endpoint) {
+  if (what == "drain") {
+    if (!endpoint.ending) {
+      endpoint.draining = true;
+      PutEndpoint(endpoint);
+      m_ledger.OnDraining(endpoint.name, m_clock.Now());
+    }
+    return;
+  }
+  SetTrouble(endpoint.name, true);
+  if (what == "kill") {
+    endpoint.ending = true;
+    endpoint.process->Signal(SIGKILL);
+    After(kLapse, [this, &endpoint] {
+      if (endpoint.ending) {
+        m_store.Delete(kEndpointPrefix + endpoint.name);
+      }
+    });
+  } else if (what == "pause") {
+    endpoint.process->Signal(SIGSTOP);
+  } else {
+    SetMode(endpoint, what);
+  }
+}
+
+void SoakFleet::EndEndpoint(const std::string& what, Endpoint& endpoint) {
+  if (what == "drain") {
+    if (endpoint.draining) {
+      SetTrouble(endpoint.name, true);
+      endpoint.process->Signal(SIGKILL);
+      endpoint.process->Wait();
+      StartEndpoint(endpoint);
+      SetTrouble(endpoint.name, false);
+    }
+    return;
+  }
+  if (what == "kill") {
+    if (endpoint.ending) {
+      endpoint.process->Wait();
+      StartEndpoint(endpoint);
+    }
+  } else if (what == "pause") {
+    endpoint.process->Signal(SIGCONT);
+  } else {
+    SetMode(endpoint, "");
+  }
+  SetTrouble(endpoint.name, false);
+}
+
+void SoakFleet::SetStoreFault(const std::string& what, bool begins) {
+  if (what == "history") {
+    m_store.DropHistory();
+  } else if (what == "cut") {
+    m_store.CutWatchesShort();
+  } else if (what == "slow") {
+    m_store.SetDelay(begins ? kSlowStore : 0ms);
+  } else {
+    m_store_faults += begins ? 1 : -1;
+    if (begins) {
+      m_store.SetFault(what == "down" ? kUnavailable : -1);
+    } else if (m_store_faults == 0) {
+      m_store.SetFault(0);
+    }
+  }
+  SetTrouble(Ledger::kStore, begins);
+}
+
+void SoakFleet::Begin(const Fault& fault) {
+  const auto [scope, what] = SplitKind(fault.kind);
+  if (scope == "router") {
+    BeginRouter(what, fault.target);
+  } else if (scope == "endpoint") {
+    BeginEndpoint(what, *m_endpoints[fault.target]);
+  } else if (scope == "service") {
+    for (std::size_t i = 0; i < m_options.endpoints; ++i) {
+      BeginEndpoint(what, *m_endpoints[fault.target * m_options.endpoints + i]);
+    }
+  } else if (scope == "endpointlink") {
+    SetTrouble(m_endpoints[fault.target]->name, true);
+    m_endpoints[fault.target]->link->SetFault(LinkFaultOf(what));
+  } else if (scope == "storelink") {
+    SetTrouble(Ledger::RouterScope(fault.target), true);
+    m_routers[fault.target].store_link->SetFault(LinkFaultOf(what));
+  } else {
+    SetStoreFault(what, true);
+  }
+}
+
+void SoakFleet::End(const Fault& fault) {
+  const auto [scope, what] = SplitKind(fault.kind);
+  if (scope == "router") {
+    EndRouter(what, fault.target);
+  } else if (scope == "endpoint") {
+    EndEndpoint(what, *m_endpoints[fault.target]);
+  } else if (scope == "service") {
+    for (std::size_t i = 0; i < m_options.endpoints; ++i) {
+      EndEndpoint(what, *m_endpoints[fault.target * m_options.endpoints + i]);
+    }
+  } else if (scope == "endpointlink") {
+    m_endpoints[fault.target]->link->SetFault(LinkFault::kNone);
+    SetTrouble(m_endpoints[fault.target]->name, false);
+  } else if (scope == "storelink") {
+    m_routers[fault.target].store_link->SetFault(LinkFault::kNone);
+    SetTrouble(Ledger::RouterScope(fault.target), false);
+  } else {
+    SetStoreFault(what, false);
+  }
+}
+
+void SoakFleet::Tick() {
+  ReadRecords();
+  for (std::size_t i = 0; i < m_routers.size(); ++i) {
+    if (!m_routers[i].ending && m_routers[i].process->HasEnded()) {
+      m_ledger.OnOwnEnd(Ledger::RouterScope(i), m_routers[i].process->Wait());
+      StartRouter(i);
+    }
+  }
+}
+
+void SoakFleet::ReadRecords() {
+  std::ifstream file(m_options.folder + "/endpoints.log");
+  file.seekg(m_record_position);
+  std::string line;
+  while (std::getline(file, line) && !file.eof()) {
+    m_ledger.AddEndpointLine(line);
+    m_record_position += static_cast<std::streamoff>(line.size()) + 1;
+  }
+}
+
+}  // namespace wagtailwind::soak
--- a/tests/support/child_process.cc
+++ b/tests/support/child_process.cc
@@ -12,8 +12,24 @@
 
 namespace wagtailwind::testing {
 
+namespace {
+
+/// Sends an output to the end of a file; an empty path leaves it as it is.
+void Redirect(int output, const std::string& path) {
+  if (!path.empty()) {
+    dup2(open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644), output);
+  }
+}
+
+int ExitStatus(int status) {
+  constexpr int kSignalled = 128;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : kSignalled + WTERMSIG(status);
+}
+
+}  // namespace
+
 ChildProcess::ChildProcess(const std::vector<std::string>& arguments,
-                           const std::string& stderr_path) {
+                           const std::string& stderr_path, const std::string& stdout_path) {
   int output[2];
   if (pipe2(output, O_CLOEXEC) != 0) {
     throw std::runtime_error("pipe2 failed");
@@ -39,10 +55,8 @@
       _exit(127);
     }
     dup2(output[1], STDOUT_FILENO);
-    if (!stderr_path.empty()) {
-      const int file = open(stderr_path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-      dup2(file, STDERR_FILENO);
-    }
+    Redirect(STDOUT_FILENO, stdout_path);
+    Redirect(STDERR_FILENO, stderr_path);
     execv(raw_arguments[0], raw_arguments.data());
     _exit(127);
   }
@@ -100,12 +114,20 @@
   }
 }
 
+bool ChildProcess::HasEnded() {
+  int status = 0;
+  if (!m_status && waitpid(m_id, &status, WNOHANG) == m_id) {
+    m_status = ExitStatus(status);
+  }
+  return m_status.has_value();
+}
+
 int ChildProcess::Wait() {
   if (!m_status) {
     int status = 0;
     while (waitpid(m_id, &status, 0) < 0 && errno == EINTR) {
     }
-    m_status = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+    m_status = ExitStatus(status);
   }
   return *m_status;
 }
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -13,10 +13,11 @@
 /// \brief A program of the project, started by a test. Killed at the latest by the destructor.
 class ChildProcess {
  public:
-  /// \brief Starts a program. Standard output is read by ReadLine(); standard error goes to the
-  /// file `stderr_path`, or is inherited if that is empty.
+  /// \brief Starts a program. Standard output is read by ReadLine(), or goes to the file
+  /// `stdout_path` if that is not empty; standard error goes to the file `stderr_path`, or is
+  /// inherited if that is empty.
   explicit ChildProcess(const std::vector<std::string>& arguments,
-                        const std::string& stderr_path = "");
+                        const std::string& stderr_path = "", const std::string& stdout_path = "");
   ~ChildProcess();
   ChildProcess(ChildProcess&& other) noexcept;
   ChildProcess& operator=(ChildProcess&& other) noexcept;
@@ -29,6 +30,9 @@
   /// \brief Sends a signal.
   void Signal(int signal) const;
 
+  /// \brief Whether the program has ended; does not wait.
+  [[nodiscard]] bool HasEnded();
+
   /// \brief Waits for the end; the exit status, or 128 + the signal that ended the program.
   int Wait();
 
--- /dev/null
+++ b/tests/support/fake_store.cc
@@ -0,0 +1,125 @@
+#include "support/fake_store.h"
+
+#include <utility>
+
+namespace wagtailwind::testing {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kGone = 410;
+
+}  // namespace
+
+FakeStore::FakeStore(net::EventLoop& loop, const StoreWire& wire)
+    : m_loop(loop),
+      m_wire(wire),
+      m_server(loop, [this](ScriptedServer::Connection& connection) { Handle(connection); }) {}
+
+void FakeStore::Put(const std::string& key, const std::string& value) {
+  const platform::KeyValueItem change{.key = key, .value = value, .revision = ++m_revision};
+  m_items[key] = change;
+  m_history.push_back(change);
+  AnswerWatches();
+}
+
+void FakeStore::Delete(const std::string& key) {
+  m_items.erase(key);
+  m_history.push_back({.key = key, .value = {}, .revision = ++m_revision, .deleted = true});
+  AnswerWatches();
+}
+
+std::vector<platform::KeyValueItem> FakeStore::Changes(const StoreCall& call) const {
+  std::vector<platform::KeyValueItem> changes;
+  for (const platform::KeyValueItem& change : m_history) {
+    if (change.revision > call.after && change.key.starts_with(call.prefix)) {
+      changes.push_back(change);
+    }
+  }
+  return changes;
+}
+
+void FakeStore::Answer(ScriptedServer::Connection& connection, std::string text) {
+  if (m_delay.count() == 0) {
+    connection.Write(text);
+    return;
+  }
+  const auto entry = m_delayed.emplace(m_delayed.end());
+  entry->timer = std::make_unique<net::Timer>(m_loop, [this, entry, &connection, text] {
+    if (!connection.closed()) {
+      connection.Write(text);
+    }
+    m_delayed.erase(entry);
+  });
+  entry->timer->Start(m_delay);
+}
+
+void FakeStore::AnswerPage(const Watch& watch, const std::vector<platform::KeyValueItem>& changes) {
+  Answer(*watch.connection,
+         HttpText(kOk, "", m_wire.EncodePage(StoreCall::Kind::kWatch, changes, m_revision)));
+}
+
+void FakeStore::Handle(ScriptedServer::Connection& connection) {
+  const StoreCall call = m_wire.ParseCall(connection.head.target);
+  ++calls[call.path];
+  if (m_fault != 0) {
+    if (m_fault > 0) {
+      Answer(connection, HttpText(m_fault, "", ""));
+    }
+    return;
+  }
+  if (call.kind == StoreCall::Kind::kRange) {
+    std::vector<platform::KeyValueItem> items;
+    for (const auto& [key, item] : m_items) {
+      if (key.starts_with(call.prefix)) {
+        items.push_back(item);
+      }
+    }
+    Answer(connection, HttpText(kOk, "", m_wire.EncodePage(call.kind, items, m_revision)));
+    return;
+  }
+  if (call.after < m_compacted) {
+    Answer(connection, HttpText(kGone, "", ""));
+    return;
+  }
+  last_wait = call.wait;
+  Watch& watch = m_watches.emplace_back();
+  watch.connection = &connection;
+  watch.call = call;
+  watch.timer = std::make_unique<net::Timer>(m_loop, [this, &watch] {
+    if (!watch.connection->closed() && m_fault == 0) {
+      AnswerPage(watch, {});
+    }
+    m_watches.remove_if([&watch](const Watch& entry) { return &entry == &watch; });
+  });
+  watch.timer->Start(call.wait);
+  AnswerWatches();
+}
+
+void FakeStore::CutWatchesShort() {
+  for (const Watch& watch : m_watches) {
+    if (!watch.connection->closed()) {
+      AnswerPage(watch, {});
+    }
+  }
+  m_watches.clear();
+}
+
+void FakeStore::AnswerWatches() {
+  if (m_fault != 0) {
+    return;
+  }
+  m_watches.remove_if([this](const Watch& watch) {
+    if (watch.connection->closed()) {
+      return true;
+    }
+    const std::vector<platform::KeyValueItem> changes = Changes(watch.call);
+    if (changes.empty()) {
+      return false;
+    }
+    AnswerPage(watch, changes);
+    return true;
+  });
+}
+
+}  // namespace wagtailwind::testing
--- a/tests/support/forwarder_fixture.cc
+++ b/tests/support/forwarder_fixture.cc
@@ -11,10 +11,9 @@
 
 using namespace std::chrono_literals;
 
-/// `key revision deleted value` for each item, behind `more revision`.
-std::string ItemLine(const std::string& key, platform::Revision revision, bool deleted,
-                     const std::string& value) {
-  return key + "\t" + std::to_string(revision) + "\t" + (deleted ? "1" : "0") + "\t" + value + "\n";
+std::string ItemLine(const platform::KeyValueItem& item) {
+  return item.key + "\t" + std::to_string(item.revision) + "\t" + (item.deleted ? "1" : "0") +
+         "\t" + item.value + "\n";
 }
 
 platform::WatchPage DecodePage(std::string_view body) {
@@ -105,95 +104,28 @@
   return DecodePage(body);
 }
 
-FakeStore::FakeStore(net::EventLoop& loop)
-    : m_loop(loop),
-      m_server(loop, [this](ScriptedServer::Connection& connection) { Handle(connection); }) {}
-
-void FakeStore::Put(const std::string& key, const std::string& value) {
-  const Change change{.key = key, .value = value, .revision = ++m_revision};
-  m_items[key] = change;
-  m_history.push_back(change);
-  AnswerWatches();
-}
-
-void FakeStore::Delete(const std::string& key) {
-  m_items.erase(key);
-  m_history.push_back({.key = key, .value = {}, .revision = ++m_revision, .deleted = true});
-  AnswerWatches();
-}
-
-std::string FakeStore::Changes(std::string_view prefix, platform::Revision after) const {
-  std::string text;
-  for (const Change& change : m_history) {
-    if (change.revision > after && change.key.starts_with(prefix)) {
-      text += ItemLine(change.key, change.revision, change.deleted, change.value);
-    }
-  }
-  return text;
-}
-
-void FakeStore::Handle(ScriptedServer::Connection& connection) {
-  const std::string& target = connection.head.target;
+StoreCall FakeDeployment::ParseCall(const std::string& target) const {
   const std::size_t question = target.find('?');
   const std::string_view query = std::string_view(target).substr(question + 1);
-  ++calls[target.substr(0, question)];
-  if (m_fault != 0) {
-    if (m_fault > 0) {
-      connection.Write(HttpText(m_fault, "", ""));
-    }
-    return;
-  }
-  const std::string prefix = http::QueryParameter(query, "prefix");
-  if (target.starts_with("/range")) {
-    std::string body = std::to_string(m_revision) + "\n";
-    for (const auto& [key, item] : m_items) {
-      if (key.starts_with(prefix)) {
-        body += ItemLine(key, item.revision, false, item.value);
-      }
-    }
-    connection.Write(HttpText(200, "", body));
-    return;
+  StoreCall call;
+  call.path = target.substr(0, question);
+  call.kind = call.path == "/range" ? StoreCall::Kind::kRange : StoreCall::Kind::kWatch;
+  call.prefix = http::QueryParameter(query, "prefix");
+  if (call.kind == StoreCall::Kind::kWatch) {
+    call.after = std::stoull(http::QueryParameter(query, "after"));
+    call.wait = std::chrono::milliseconds(std::stoll(http::QueryParameter(query, "wait")));
   }
-  const platform::Revision after = std::stoull(http::QueryParameter(query, "after"));
-  if (after < m_compacted) {
-    connection.Write(HttpText(410, "", ""));
-    return;
-  }
-  Watch& watch = m_watches.emplace_back();
-  watch.connection = &connection;
-  watch.prefix = prefix;
-  watch.after = after;
-  watch.timer = std::make_unique<net::Timer>(m_loop, [this, &watch] {
-    watch.connection->Write(HttpText(200, "", std::to_string(m_revision) + "\n"));
-    m_watches.remove_if([&watch](const Watch& entry) { return &entry == &watch; });
-  });
-  last_wait = std::chrono::milliseconds(std::stoll(http::QueryParameter(query, "wait")));
-  watch.timer->Start(last_wait);
-  AnswerWatches();
+  return call;
 }
 
-void FakeStore::CutWatchesShort() {
-  for (const Watch& watch : m_watches) {
-    watch.connection->Write(HttpText(200, "", std::to_string(m_revision) + "\n"));
+std::string FakeDeployment::EncodePage(StoreCall::Kind /*kind*/,
+                                       const std::vector<platform::KeyValueItem>& items,
+                                       platform::Revision revision) const {
+  std::string body = std::to_string(revision) + "\n";
+  for (const platform::KeyValueItem& item : items) {
+    body += ItemLine(item);
   }
-  m_watches.clear();
-}
-
-void FakeStore::AnswerWatches() {
-  if (m_fault != 0) {
-    return;
-  }
-  m_watches.remove_if([this](const Watch& watch) {
-    if (watch.connection->closed()) {
-      return true;
-    }
-    const std::string changes = Changes(watch.prefix, watch.after);
-    if (changes.empty()) {
-      return false;
-    }
-    watch.connection->Write(HttpText(200, "", std::to_string(m_revision) + "\n" + changes));
-    return true;
-  });
+  return body;
 }
 
 /// \brief A caller's connection with one request.
@@ -219,7 +151,7 @@
   http1::ClientConnection m_connection;
 };
 
-ForwarderFixture::ForwarderFixture() : store(loop) {}
+ForwarderFixture::ForwarderFixture() : store(loop, deployment) {}
 
 ForwarderFixture::~ForwarderFixture() = default;
 
--- a/tests/support/forwarder_fixture.h
+++ b/tests/support/forwarder_fixture.h
@@ -17,6 +17,7 @@
 #include "forward/forwarder.h"
 #include "http1/client_connection.h"
 #include "net/event_loop.h"
+#include "support/fake_store.h"
 #include "support/scripted_server.h"
 
 namespace wagtailwind::testing {
@@ -37,7 +38,9 @@
 };
 
 /// \brief A protocol of its own, with names that no deployment uses.
-class FakeDeployment final : public forward::DeploymentAdapter, public platform::KeyValueCodec {
+class FakeDeployment final : public forward::DeploymentAdapter,
+                             public platform::KeyValueCodec,
+                             public StoreWire {
  public:
   FakeDeployment();
 
@@ -63,6 +66,11 @@
   [[nodiscard]] platform::RangePage DecodeRange(std::string_view body) const override;
   [[nodiscard]] platform::WatchPage DecodeWatch(std::string_view body) const override;
 
+  [[nodiscard]] StoreCall ParseCall(const std::string& target) const override;
+  [[nodiscard]] std::string EncodePage(StoreCall::Kind kind,
+                                       const std::vector<platform::KeyValueItem>& items,
+                                       platform::Revision revision) const override;
+
   std::map<std::string, std::shared_ptr<const forward::RoutingConfiguration>, std::less<>>
       configurations;
 
@@ -70,58 +78,6 @@
   forward::WireNames m_names;
 };
 
-/// \brief A key-value service on the loop: keys, watches, and faults.
-class FakeStore {
- public:
-  explicit FakeStore(net::EventLoop& loop);
-
-  void Put(const std::string& key, const std::string& value);
-  void Delete(const std::string& key);
-
-  /// \brief Forgets the history: watches from before get status 410.
-  void DropHistory() { m_compacted = m_revision; }
-
-  /// \brief Ends all waiting watches before their time, without a change.
-  void CutWatchesShort();
-
-  /// \brief Answers each call with this status; 0: as usual; below 0: not at all.
-  void SetFault(int status) { m_fault = status; }
-
-  [[nodiscard]] std::string Address() const { return m_server.Address(); }
-
-  /// Calls by their path.
-  std::map<std::string, int> calls;
-  /// Of the last watch.
-  std::chrono::milliseconds last_wait{0};
-
- private:
-  struct Change {
-    std::string key;
-    std::string value;
-    platform::Revision revision = 0;
-    bool deleted = false;
-  };
-  struct Watch {
-    ScriptedServer::Connection* connection = nullptr;
-    std::string prefix;
-    platform::Revision after = 0;
-    std::unique_ptr<net::Timer> timer;
-  };
-
-  void Handle(ScriptedServer::Connection& connection);
-  [[nodiscard]] std::string Changes(std::string_view prefix, platform::Revision after) const;
-  void AnswerWatches();
-
-  net::EventLoop& m_loop;
-  ScriptedServer m_server;
-  std::map<std::string, Change> m_items;
-  std::vector<Change> m_history;
-  std::list<Watch> m_watches;
-  platform::Revision m_revision = 10;
-  platform::Revision m_compacted = 0;
-  int m_fault = 0;
-};
-
 /// \brief What a caller received.
 struct CallerAnswer {
   bool complete = false;
--- a/tests/unit/forward_prefix_feed_test.cc
+++ b/tests/unit/forward_prefix_feed_test.cc
@@ -50,7 +50,7 @@
   SeededRandomSource random{3};
   MetricsRegistry metrics;
   FakeDeployment deployment;
-  FakeStore store{loop};
+  FakeStore store{loop, deployment};
   Listener listener;
   std::unique_ptr<forward::PrefixFeed> feed;
 
