Keep other answers out of a stream that is to be resumed

The first endpoint's connection was reset after 12 events, the second one failed, and the body of its answer was passed on because the stream to the caller had begun. A whole answer in place of events would even have ended the stream as complete.

Ruled out: the framing of events; the torn event was dropped as it should be.

Change: once events have reached the caller, only events may follow; any other answer loses the attempt, and its body stays in the forwarder.

--- a/src/forward/forward_task_answer.cc
+++ b/src/forward/forward_task_answer.cc
@@ -99,6 +99,10 @@
   }
   TakeLoad(head);
   m_kind = Classify(head);
+  if (m_kind == AnswerKind::kWhole && m_stream_began) {
+    // The caller has events of another attempt, which only events may follow.
+    m_kind = AnswerKind::kInvalid;
+  }
   if (m_kind == AnswerKind::kWhole || m_kind == AnswerKind::kEvents) {
     m_decision->OnAdmitted(m_attempt);
     m_decision->OnHead(m_attempt);
@@ -122,7 +126,7 @@
     });
     return;
   }
-  if (m_stream_began) {
+  if (m_stream_began && m_kind == AnswerKind::kWhole) {
     if (m_sink != nullptr) {
       m_sink->StreamPart(part);
     }
--- a/tests/unit/forward_path_test.cc
+++ b/tests/unit/forward_path_test.cc
@@ -284,6 +284,29 @@
                                          "id: 4\ndata: 4\n\n"));
 }
 
+// Guards against the body of another answer inside a stream: the endpoint that is to go on with it
+// fails, or answers with something else than events.
+Test(forward_path, keeps_other_answers_out_of_a_broken_stream) {
+  auto route = TestRoute(RequestKind::kStream, 2);
+  route.resumable = true;
+  for (const int status : {500, 200}) {
+    Pair fleet(
+        route,
+        [](Connection& connection) {
+          connection.Write(StreamHead(connection) + Event(1));
+          connection.Reset();
+        },
+        [status](Connection& connection) {
+          connection.Write(HttpText(status, SignedHeaders(connection), Event(2)));
+        });
+    const auto answer = fleet.Call();
+    cr_assert(answer->broken);
+    cr_assert_not(answer->complete);
+    cr_assert_eq(fleet.arrivals, 2);
+    cr_assert_eq(answer->body, std::string("id: 1\ndata: 1\n\n"));
+  }
+}
+
 // Guards against a broken stream that looks complete, and against a second run of a stream that may
 // not be resumed.
 Test(forward_path, breaks_off_a_stream_that_may_not_be_resumed) {
