Let a reload signal wait until the process can handle it

SIGHUP came between its start and the installation of its handlers, where the default action ends the process.

Ruled out: the handling of the signal while the process serves.

Change: the signal is blocked from the start of the main function until the watcher exists, and then delivered, so that a change of the settings in between is not missed.

--- a/src/daemon/forwarder_main.cc
+++ b/src/daemon/forwarder_main.cc
@@ -75,6 +75,15 @@
   wagtailwind::FlushLogLines();
 }
 
+/// A reload signal that comes before the process can handle it would end it. It waits instead, so
+/// that a change of the settings during the start is not missed either.
+void SetReloadSignalBlocked(bool blocked) noexcept {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGHUP);
+  pthread_sigmask(blocked ? SIG_BLOCK : SIG_UNBLOCK, &signals, nullptr);
+}
+
 int Run(const std::string& path, const wagtailwind::settings::ForwarderSettings& settings) {
   namespace forward = wagtailwind::forward;
   namespace net = wagtailwind::net;
@@ -92,6 +101,7 @@
     const net::SignalWatcher terminate(loop, SIGTERM, [&forwarder] { forwarder.BeginStop(); });
     const net::SignalWatcher interrupt(loop, SIGINT, [&forwarder] { forwarder.BeginStop(); });
     const net::SignalWatcher hang_up(loop, SIGHUP, [&watcher] { watcher.Reload(); });
+    SetReloadSignalBlocked(false);
     std::uint64_t reported = 0;
     wagtailwind::Gauge& dropped_lines = metrics.GetGauge("log_lines_dropped");
     net::Timer flush(loop, [&reported, &dropped_lines] { FlushLog(reported, dropped_lines); });
@@ -113,6 +123,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  SetReloadSignalBlocked(true);
   return wagtailwind::daemon::RunProgram("wagtailwind-forwarder",
                                          "Router that forwards straight to endpoints.", argc, argv,
                                          wagtailwind::settings::ReadForwarderSettings, Run);
