Divide the retry slack by the routers that share the traffic

Cause: each router took a sixteenth of the retry slack, whatever their number. 46 routers hold 446 tokens against a slack of 155, and 300 would hold 2,900, so a service that refuses as a whole could be repeated beyond the fleet's bound.

Ruled out: a register of routers in the key-value service; it would add calls for each router. A larger fixed divisor; it would take retries away from small fleets.

--- a/src/forward/endpoint_ranking.cc
+++ b/src/forward/endpoint_ranking.cc
@@ -226,7 +226,14 @@
                                                      : left.cost < right.cost;
                     });
   const EndpointPtr& first = *scored.front().endpoint;
-  Ranking ranking{.endpoints = {}, .at_home = home.Is(first), .cached_at = {}, .mean_load = mean};
+  Ranking ranking;
+  ranking.at_home = home.Is(first);
+  ranking.mean_load = mean;
+  for (const EndpointPtr& endpoint : endpoints) {
+    ranking.own_load += endpoint->load.own();
+  }
+  // Endpoints that have not reported to this router count as typical ones.
+  ranking.others_load = typical_others * static_cast<double>(endpoints.size());
   if (request.prompt) {
     for (const EndpointPtr& endpoint : draining) {
       old_holder.Offer(endpoint,
--- a/src/forward/endpoint_ranking.h
+++ b/src/forward/endpoint_ranking.h
@@ -44,6 +44,9 @@
   EndpointPtr cached_at;
   /// Mean load of the endpoints that can serve the request.
   double mean_load = 0;
+  /// Requests in flight at all endpoints of the service: of this router, and of the others.
+  double own_load = 0;
+  double others_load = 0;
 };
 
 /// \brief Orders the endpoints of a service for a request, best first, and leaves out those that
--- a/src/forward/forward_context.cc
+++ b/src/forward/forward_context.cc
@@ -12,9 +12,8 @@
 // near its beginning.
 constexpr double kUsedRatio = 0.75;
 
-// Routers among which the slack is divided. The settings don't tell their number; this is twice the
-// larger deployment of today.
-constexpr double kRoutersSharingSlack = 16;
+// Tokens of a router's budget at least, without which it could never retry.
+constexpr double kLeastCapacity = 1;
 
 // Part of the time after which keys are refused, up to which a confirmation counts as young. A
 // watch of the configuration and a slow answer fit in.
@@ -30,17 +29,17 @@
 }
 
 requests::RetryBudget& ForwardContext::RetryBudgetOf(const ServiceName& service) {
-  const requests::RetryBudgetSettings settings{
+  requests::RetryBudgetSettings settings{
       .tokens_per_request = bounds.retry_ratio * kUsedRatio,
-      .capacity = bounds.retry_slack / kRoutersSharingSlack};
+      .capacity = std::max(kLeastCapacity, bounds.retry_slack / traffic_share.Routers())};
   if (MutantIs("forwarder_has_no_retry_budget")) {
     constexpr double kEnough = 1e6;
-    return retry_budgets
-        .try_emplace(service.value(),
-                     requests::RetryBudgetSettings{.tokens_per_request = 1, .capacity = kEnough})
-        .first->second;
+    settings = {.tokens_per_request = 1, .capacity = kEnough};
   }
-  return retry_budgets.try_emplace(service.value(), settings).first->second;
+  requests::RetryBudget& budget =
+      retry_budgets.try_emplace(service.value(), settings).first->second;
+  budget.SetCapacity(settings.capacity);
+  return budget;
 }
 
 }  // namespace wagtailwind::forward
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -14,6 +14,7 @@
 #include "forward/connection_pool.h"
 #include "forward/endpoint_registry.h"
 #include "forward/routing.h"
+#include "forward/traffic_share.h"
 #include "forward/wire_names.h"
 #include "net/event_loop.h"
 #include "requests/retry_budget.h"
@@ -38,6 +39,7 @@
   Confirmation confirmation;
   /// Empty until the first configuration has been read.
   std::shared_ptr<const RoutingConfiguration> configuration;
+  TrafficShare traffic_share;
   /// By service.
   std::map<std::string, requests::RetryBudget, std::less<>> retry_budgets;
 
--- a/src/forward/forward_task.cc
+++ b/src/forward/forward_task.cc
@@ -190,6 +190,7 @@
   m_ranked = std::move(ranked.endpoints);
   m_at_home = ranked.at_home;
   m_mean_load = ranked.mean_load;
+  m_context.traffic_share.OnRequest(ranked.own_load, ranked.others_load);
   if (spec != m_configuration->services.end() && spec->second.shares_cache) {
     m_cached_at = std::move(ranked.cached_at);
   }
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -189,6 +189,7 @@
                 .endpoints_known = false,
                 .confirmation = {},
                 .configuration = {},
+                .traffic_share = {},
                 .retry_budgets = {}},
       m_adapter(adapter),
       m_settings(settings),
@@ -262,6 +263,7 @@
   set("forward_idle_connections", m_context.pool.IdleCount());
   set("forward_sessions", m_callers->m_sessions.Size());
   set("forward_endpoints", m_context.endpoints.Size());
+  set("forward_routers_estimate", static_cast<std::size_t>(m_context.traffic_share.Routers()));
   set("forward_body_bytes", m_callers->BodyBytes());
   if (const auto age = m_context.confirmation.AgeMilliseconds(m_context.clock.BootNow())) {
     constexpr double kMillisecondsPerSecond = 1000;
--- a/src/requests/retry_budget.cc
+++ b/src/requests/retry_budget.cc
@@ -5,11 +5,13 @@
 namespace wagtailwind::requests {
 
 RetryBudget::RetryBudget(RetryBudgetSettings settings)
-    : m_settings(settings), m_tokens(settings.capacity) {}
+    : m_tokens_per_request(settings.tokens_per_request),
+      m_capacity(settings.capacity),
+      m_tokens(settings.capacity) {}
 
 void RetryBudget::OnRequest() {
   const absl::MutexLock lock(&m_mutex);
-  m_tokens = std::min(m_settings.capacity, m_tokens + m_settings.tokens_per_request);
+  m_tokens = std::min(m_capacity, m_tokens + m_tokens_per_request);
 }
 
 bool RetryBudget::TryTake() {
@@ -23,6 +25,12 @@
   return true;
 }
 
+void RetryBudget::SetCapacity(double capacity) {
+  const absl::MutexLock lock(&m_mutex);
+  m_capacity = capacity;
+  m_tokens = std::min(m_tokens, m_capacity);
+}
+
 double RetryBudget::Tokens() const {
   const absl::MutexLock lock(&m_mutex);
   return m_tokens;
--- a/src/requests/retry_budget.h
+++ b/src/requests/retry_budget.h
@@ -28,9 +28,13 @@
 
   [[nodiscard]] double Tokens() const;
 
+  /// \brief Changes the tokens that the bucket holds at most; tokens above are lost.
+  void SetCapacity(double capacity);
+
  private:
-  const RetryBudgetSettings m_settings;
+  const double m_tokens_per_request;
   mutable absl::Mutex m_mutex;
+  double m_capacity ABSL_GUARDED_BY(m_mutex);
   double m_tokens ABSL_GUARDED_BY(m_mutex);
 };
 
--- /dev/null
+++ b/tests/unit/forward_traffic_share_test.cc
@@ -0,0 +1,47 @@
+#include "forward/traffic_share.h"
+#include "requests/retry_budget.h"
+
+// Last: its macros break the headers of Abseil.
+#include <criterion/criterion.h>
+
+using wagtailwind::forward::TrafficShare;
+using wagtailwind::requests::RetryBudget;
+
+namespace {
+constexpr int kManyRequests = 2'000;
+}  // namespace
+
+// Guards against a fleet that retries beyond its bound when a whole service refuses: every router
+// keeps its part of the slack, whose sum must stay at the slack for any number of routers.
+Test(traffic_share, counts_the_routers_of_a_large_fleet) {
+  for (const int routers : {46, 300}) {
+    TrafficShare share;
+    for (int i = 0; i < kManyRequests; ++i) {
+      // One request in flight here at every second arrival.
+      const double own = i % 2;
+      share.OnRequest(own, 0.5 * (routers - 1));
+    }
+    cr_assert(share.Routers() > 0.9 * routers && share.Routers() < 1.1 * routers);
+  }
+}
+
+// Guards against a part of the slack that is too large while little is known, or when most requests
+// in flight happen to be this router's.
+Test(traffic_share, assumes_a_least_number_of_routers) {
+  TrafficShare share;
+  const double least = share.Routers();
+  cr_assert(least >= 8);
+  for (int i = 0; i < kManyRequests; ++i) {
+    share.OnRequest(10, 1);
+  }
+  cr_assert_eq(share.Routers(), least);
+}
+
+// Guards against tokens that were saved up under a larger part of the slack.
+Test(retry_budget, loses_tokens_above_a_lowered_capacity) {
+  RetryBudget budget({.tokens_per_request = 0, .capacity = 5});
+  budget.SetCapacity(2);
+  cr_assert(budget.TryTake());
+  cr_assert(budget.TryTake());
+  cr_assert(!budget.TryTake());
+}
