--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -135,7 +135,7 @@
 
 std::string SoakFleet::FreeAddress() {
   while (true) {
-    const std::string address = "127.0.0.1:" + std::to_string(m_next_port++);
+    std::string address = "127.0.0.1:" + std::to_string(m_next_port++);
     try {
       const net::TcpListener probe(m_loop, address, [](uv_stream_t*) {});
       return address;
--- a/tests/support/fake_store.cc
+++ b/tests/support/fake_store.cc
@@ -39,7 +39,7 @@
   return changes;
 }
 
-void FakeStore::Answer(ScriptedServer::Connection& connection, std::string text) {
+void FakeStore::Answer(ScriptedServer::Connection& connection, const std::string& text) {
   if (m_delay.count() == 0) {
     connection.Write(text);
     return;
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -79,7 +79,7 @@
   };
 
   void Handle(ScriptedServer::Connection& connection);
-  void Answer(ScriptedServer::Connection& connection, std::string text);
+  void Answer(ScriptedServer::Connection& connection, const std::string& text);
   void AnswerPage(const Watch& watch, const std::vector<platform::KeyValueItem>& changes);
   [[nodiscard]] std::vector<platform::KeyValueItem> Changes(const StoreCall& call) const;
   void AnswerWatches();
--- a/tests/unit/soak_ledger_test.cc
+++ b/tests/unit/soak_ledger_test.cc
@@ -17,7 +17,7 @@
 using soak::Ledger;
 using soak::SoakRequest;
 
-const SteadyTime kStart{1'000s};
+constexpr SteadyTime kStart{1'000s};
 
 /// A ledger with one request that was answered 20 ms after it was sent.
 struct Fixture {
