--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -121,6 +121,8 @@
     SoakRequest request;
     std::vector<EndpointRun> runs = {};
     std::size_t refusals = 0;
+    /// The answer has ended and is sound, so that it needs no other check.
+    mutable bool answer_checked = false;
   };
   using Violations = std::vector<std::string>;
   static constexpr std::string_view kStopSuffix = "-stop";
