Let feeds report their own loss, and measure a pool in one pass

Change: PrefixFeed logs and counts its loss and return, and listeners override only what they need; core/log_level_name.h serves both backends; MeasurePool gives the own and the others' load at once.

--- a/src/core/line_log.cc
+++ b/src/core/line_log.cc
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "core/log.h"
+#include "core/log_level_name.h"
 
 // Second implementation of core/log.h, for programs where memory and processor time are scarce: one
 // thread, a bounded buffer, no logging library. A program links one of the two.
@@ -41,11 +42,6 @@
   return state;
 }
 
-const char* LevelName(LogLevel level) noexcept {
-  constexpr const char* kNames[] = {"debug", "info", "warn", "error"};
-  return kNames[static_cast<std::size_t>(level)];
-}
-
 void AppendEscaped(std::string& line, std::string_view text) {
   for (const char character : text) {
     const auto byte = static_cast<unsigned char>(character);
@@ -101,7 +97,7 @@
   std::string& line = state.buffer;
   line.append("{\"time\":\"");
   AppendTime(state, line);
-  line.append("\",\"level\":\"").append(LevelName(event.level));
+  line.append("\",\"level\":\"").append(detail::LevelName(event.level));
   line.append("\",\"event\":").append(std::to_string(event.number));
   line.append(",\"name\":\"").append(event.name);
   line.append("\",\"process\":\"");
--- a/src/core/log.cc
+++ b/src/core/log.cc
@@ -9,6 +9,8 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 
+#include "core/log_level_name.h"
+
 namespace wagtailwind {
 
 namespace {
@@ -27,20 +29,6 @@
   return log4cxx::Level::getInfo();
 }
 
-const char* LevelName(LogLevel level) noexcept {
-  switch (level) {
-    case LogLevel::kDebug:
-      return "debug";
-    case LogLevel::kInfo:
-      return "info";
-    case LogLevel::kWarn:
-      return "warn";
-    case LogLevel::kError:
-      return "error";
-  }
-  return "info";
-}
-
 log4cxx::LoggerPtr ProjectLogger() { return log4cxx::Logger::getLogger("wagtailwind"); }
 
 std::string& ProcessName() {
@@ -71,7 +59,7 @@
     return;
   }
   nlohmann::ordered_json line;
-  line["level"] = LevelName(event.level);
+  line["level"] = detail::LevelName(event.level);
   line["event"] = event.number;
   line["name"] = event.name;
   line["process"] = ProcessName();
--- a/src/forward/configuration_follower.cc
+++ b/src/forward/configuration_follower.cc
@@ -64,13 +64,4 @@
   return true;
 }
 
-void ConfigurationFollower::OnFeedLost(std::string_view reason) {
-  Log(kKeyValueLost, {{"feed", "configuration"}, {"reason", reason}});
-  m_context.metrics.GetCounter("forward_key_value_lost_total{feed=\"configuration\"}").Add();
-}
-
-void ConfigurationFollower::OnFeedRegained(SteadyTime /*last_failed*/) {
-  Log(kKeyValueRegained, {{"feed", "configuration"}});
-}
-
 }  // namespace wagtailwind::forward
--- a/src/forward/configuration_follower.h
+++ b/src/forward/configuration_follower.h
@@ -19,8 +19,6 @@
 
   void OnSnapshot(const std::vector<platform::KeyValueItem>& items, BootTime held_at) override;
   void OnChanges(const std::vector<platform::KeyValueItem>& changes, BootTime held_at) override;
-  void OnFeedLost(std::string_view reason) override;
-  void OnFeedRegained(SteadyTime last_failed) override;
 
  private:
   /// False if the item is the newest configuration and can't be read.
--- a/src/forward/endpoint_follower.cc
+++ b/src/forward/endpoint_follower.cc
@@ -50,15 +50,10 @@
   }
 }
 
-void EndpointFollower::OnFeedLost(std::string_view reason) {
-  m_context.endpoints.OnServiceLost();
-  Log(kKeyValueLost, {{"feed", "endpoints"}, {"reason", reason}});
-  m_context.metrics.GetCounter("forward_key_value_lost_total{feed=\"endpoints\"}").Add();
-}
+void EndpointFollower::OnFeedLost() { m_context.endpoints.OnServiceLost(); }
 
 void EndpointFollower::OnFeedRegained(SteadyTime last_failed) {
   m_context.endpoints.OnServiceRegained(last_failed);
-  Log(kKeyValueRegained, {{"feed", "endpoints"}});
 }
 
 }  // namespace wagtailwind::forward
--- a/src/forward/endpoint_follower.h
+++ b/src/forward/endpoint_follower.h
@@ -18,7 +18,7 @@
 
   void OnSnapshot(const std::vector<platform::KeyValueItem>& items, BootTime held_at) override;
   void OnChanges(const std::vector<platform::KeyValueItem>& changes, BootTime held_at) override;
-  void OnFeedLost(std::string_view reason) override;
+  void OnFeedLost() override;
   void OnFeedRegained(SteadyTime last_failed) override;
 
  private:
--- a/src/forward/endpoint_ranking.cc
+++ b/src/forward/endpoint_ranking.cc
@@ -134,17 +134,29 @@
   return kSlowFactor * *middle;
 }
 
-/// What other routers have at an endpoint on average, by the last reports.
-double TypicalOthers(std::span<const EndpointPtr> endpoints) {
-  double total = 0;
-  std::size_t count = 0;
+/// Requests in flight at a pool.
+struct PoolLoad {
+  /// Of this router.
+  double own = 0;
+  /// Of other routers at an endpoint on average, by the last reports.
+  double typical_others = 0;
+};
+
+PoolLoad MeasurePool(std::span<const EndpointPtr> endpoints) {
+  PoolLoad pool;
+  double others_total = 0;
+  std::size_t reported = 0;
   for (const EndpointPtr& endpoint : endpoints) {
+    pool.own += endpoint->load.own();
     if (const auto others = endpoint->load.ReportedOthers()) {
-      total += *others;
-      ++count;
+      others_total += *others;
+      ++reported;
     }
   }
-  return count == 0 ? 0 : total / static_cast<double>(count);
+  if (reported > 0) {
+    pool.typical_others = others_total / static_cast<double>(reported);
+  }
+  return pool;
 }
 
 double LoadCost(const Endpoint& endpoint, const RankingRequest& request, double load,
@@ -159,7 +171,7 @@
 Ranking RankEndpoints(std::span<const EndpointPtr> endpoints, std::span<const EndpointPtr> draining,
                       const RankingRequest& request, SteadyTime now, RandomSource& random,
                       std::size_t limit) {
-  const double typical_others = TypicalOthers(endpoints);
+  const PoolLoad pool = MeasurePool(endpoints);
   std::vector<Candidate> candidates;
   candidates.reserve(endpoints.size());
   double total_load = 0;
@@ -167,7 +179,7 @@
   WallTime oldest = WallTime::max();
   for (const EndpointPtr& endpoint : endpoints) {
     if (CanServe(*endpoint, request)) {
-      const double load = endpoint->load.Requests(now, typical_others);
+      const double load = endpoint->load.Requests(now, pool.typical_others);
       candidates.push_back({.endpoint = &endpoint, .load = load});
       oldest = std::min(oldest, endpoint->record.started_at);
       total_load += load;
@@ -229,11 +241,9 @@
   Ranking ranking;
   ranking.at_home = home.Is(first);
   ranking.mean_load = mean;
-  for (const EndpointPtr& endpoint : endpoints) {
-    ranking.own_load += endpoint->load.own();
-  }
+  ranking.own_load = pool.own;
   // Endpoints that have not reported to this router count as typical ones.
-  ranking.others_load = typical_others * static_cast<double>(endpoints.size());
+  ranking.others_load = pool.typical_others * static_cast<double>(endpoints.size());
   if (request.prompt) {
     for (const EndpointPtr& endpoint : draining) {
       old_holder.Offer(endpoint,
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -47,7 +47,8 @@
   /// routes and keys can be refused for good, and callers are served well here.
   [[nodiscard]] bool IsConfirmed() const noexcept;
 
-  /// \brief The budget of a service; created at its first request.
+  /// \brief The budget of a service; created at its first request. Its capacity follows the
+  /// estimated number of routers.
   [[nodiscard]] requests::RetryBudget& RetryBudgetOf(const ServiceName& service);
 };
 
--- a/src/forward/prefix_feed.cc
+++ b/src/forward/prefix_feed.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/mutant.h"
+#include "forward/log_events.h"
 
 namespace wagtailwind::forward {
 
@@ -133,6 +134,7 @@
   m_failures = 0;
   if (m_lost) {
     m_lost = false;
+    Log(kKeyValueRegained, {{"feed", m_settings.name}});
     m_listener.OnFeedRegained(m_last_failed);
   }
 }
@@ -152,7 +154,9 @@
   }
   if (!m_lost) {
     m_lost = true;
-    m_listener.OnFeedLost(reason);
+    Log(kKeyValueLost, {{"feed", m_settings.name}, {"reason", reason}});
+    m_metrics.GetCounter("forward_key_value_lost_total{feed=\"" + m_settings.name + "\"}").Add();
+    m_listener.OnFeedLost();
   }
   if (MutantIs("forwarder_gives_up_reading")) {
     return;
--- a/src/forward/prefix_feed.h
+++ b/src/forward/prefix_feed.h
@@ -29,16 +29,16 @@
   virtual void OnChanges(const std::vector<platform::KeyValueItem>& changes, BootTime held_at) = 0;
 
   /// \brief The service does not answer.
-  virtual void OnFeedLost(std::string_view reason) = 0;
+  virtual void OnFeedLost() {}
 
   /// \brief The service answers again. Comes before what the answer shows. `last_failed` is when
   /// the last call was sent that failed: the service may have returned at any time since then.
-  virtual void OnFeedRegained(SteadyTime last_failed) = 0;
+  virtual void OnFeedRegained(SteadyTime /*last_failed*/) {}
 };
 
 /// \brief Where and how a feed reads.
 struct FeedSettings {
-  /// Names the feed in metrics.
+  /// Names the feed in logs and metrics.
   std::string name;
   /// `ip:port` of the key-value service.
   std::string address;
--- a/tests/unit/forward_prefix_feed_test.cc
+++ b/tests/unit/forward_prefix_feed_test.cc
@@ -28,7 +28,7 @@
     quiet_watches += changes.empty() ? 1 : 0;
     confirmed_at = held_at;
   }
-  void OnFeedLost(std::string_view) override { ++lost; }
+  void OnFeedLost() override { ++lost; }
   void OnFeedRegained(SteadyTime last_failed) override {
     ++regained;
     failed_at = last_failed;
