Send each HTTP request of routers and agents on a connection of its own

Cause: libcurl reuses connections, and an endpoint or the key-value service may send a second copy of an answer late. The copy was taken for the answer to the next call (endpoint_transfer::a_late_copy_is_not_taken_for_the_next_answer failed first, for http::Client as well). Change: http::Client and EasyTransfer open a connection for each request; SendOnce is gone, because Send now does the same. Bodies over 32 MiB end a call of http::Client, which read them without a limit.

--- a/src/endpoint/easy_transfer.cc
+++ b/src/endpoint/easy_transfer.cc
@@ -52,9 +52,10 @@
     curl_easy_setopt(m_easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(m_request.body.size()));
     curl_easy_setopt(m_easy, CURLOPT_POSTFIELDS, m_request.body.c_str());
   }
-  if (!m_request.repeatable && !IsMutantEnabled("once_only_calls_reuse_connections")) {
-    // libcurl resends a request when a reused connection closes without an answer. The endpoint may
-    // have run the first request, so a request that is not repeatable gets its own connection.
+  if (!IsMutantEnabled("once_only_calls_reuse_connections")) {
+    // On a reused connection, a late copy of an earlier answer would be taken for the answer to
+    // this request, and libcurl resends a request when the connection closes without an answer,
+    // although the endpoint may have run it.
     curl_easy_setopt(m_easy, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(m_easy, CURLOPT_FORBID_REUSE, 1L);
   }
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -12,8 +12,18 @@
 
 namespace {
 
+// Larger than any value or list of the services that are called with this client.
+constexpr std::size_t kMaxBodyBytes = 32U << 20U;
+constexpr std::size_t kMaxHeaderBytes = 64U << 10U;
+
+/// Returns fewer bytes than it was given if the body exceeds the limit, which makes libcurl end the
+/// call.
 std::size_t AppendBody(char* data, std::size_t size, std::size_t count, void* closure) {
-  static_cast<std::string*>(closure)->append(data, size * count);
+  auto& body = *static_cast<std::string*>(closure);
+  if (body.size() + size * count > kMaxBodyBytes) {
+    return 0;
+  }
+  body.append(data, size * count);
   return size * count;
 }
 
@@ -85,28 +95,8 @@
 
 Client::~Client() = default;
 
-struct Client::Call {
-  const std::string& method;
-  const std::string& target;
-  const std::string& body;
-  std::chrono::milliseconds timeout;
-  const std::vector<Header>& headers;
-  bool fresh_connection = false;
-};
-
 Response Client::Send(const std::string& method, const std::string& target, const std::string& body,
                       std::chrono::milliseconds timeout, const std::vector<Header>& headers) {
-  return Perform({method, target, body, timeout, headers, false});
-}
-
-Response Client::SendOnce(const std::string& method, const std::string& target,
-                          const std::string& body, std::chrono::milliseconds timeout,
-                          const std::vector<Header>& headers) {
-  return Perform({method, target, body, timeout, headers, true});
-}
-
-Response Client::Perform(const Call& call) {
-  const auto& [method, target, body, timeout, headers, fresh_connection] = call;
   CURL* handle = m_pool->Acquire();
   Response response;
   const HeaderList header_list(headers);
@@ -121,10 +111,9 @@
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, &response.body);
   curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &AppendHeader);
   curl_easy_setopt(handle, CURLOPT_HEADERDATA, &response.headers);
-  if (fresh_connection) {
-    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
-    curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
-  }
+  // libcurl repeats a request by itself when a reused connection turns out to be closed.
+  curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+  curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
   if (!body.empty() || method == "POST" || method == "PUT") {
     curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE, static_cast<long>(body.size()));
     curl_easy_setopt(handle, CURLOPT_POSTFIELDS, body.c_str());
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -26,7 +26,9 @@
 /// processed the request.
 using ResponseLost = wagtailwind::detail::NamedError<detail::ResponseLostTag>;
 
-/// \brief Blocking HTTP client that reuses connections. Thread-safe.
+/// \brief Blocking HTTP client. Sends each request on a connection of its own, so that it is sent
+/// at most once, and that no late copy of an earlier response is taken for its response.
+/// Thread-safe.
 class Client {
  public:
   /// \brief Creates a client for the server at `ip:port`.
@@ -36,21 +38,12 @@
   Client& operator=(const Client&) = delete;
 
   /// \brief Sends a request and returns the response. `target` is path and query. Throws
-  /// NotConnected or ResponseLost.
+  /// NotConnected, or ResponseLost also for a response that exceeds 32 MiB.
   [[nodiscard]] Response Send(const std::string& method, const std::string& target,
                               const std::string& body, std::chrono::milliseconds timeout,
                               const std::vector<Header>& headers = {});
 
-  /// \brief Sends a request on a new connection, so that it is sent at most once. libcurl repeats a
-  /// request by itself when a reused connection turns out to be closed.
-  [[nodiscard]] Response SendOnce(const std::string& method, const std::string& target,
-                                  const std::string& body, std::chrono::milliseconds timeout,
-                                  const std::vector<Header>& headers = {});
-
  private:
-  struct Call;
-  [[nodiscard]] Response Perform(const Call& call);
-
   struct Pool;
   std::string m_address;
   std::unique_ptr<Pool> m_pool;
--- a/src/platform/http_key_value_service.cc
+++ b/src/platform/http_key_value_service.cc
@@ -92,7 +92,7 @@
 http::Response HttpKeyValueService::SendWrite(const Call& call) {
   http::Response response;
   try {
-    response = m_client.SendOnce(call.method, call.target, call.body, m_timeout);
+    response = m_client.Send(call.method, call.target, call.body, m_timeout);
   } catch (const http::NotConnected& error) {
     ThrowUnavailable(call, error.what());
   } catch (const http::ResponseLost& error) {
--- a/tests/histories/control_callers.cc
+++ b/tests/histories/control_callers.cc
@@ -53,7 +53,7 @@
   ExecutedRequest request;
   request.sent = NowMs();
   try {
-    const http::Response response = http::Client(router).SendOnce(
+    const http::Response response = http::Client(router).Send(
         "POST", "/v1/chat/completions", body.dump(), kCallTimeout,
         {{"Wagtailwind-Organisation", m_organisation}, {"Wagtailwind-Chat", chat}});
     request.answered = NowMs();
--- a/tests/support/scripted_server.cc
+++ b/tests/support/scripted_server.cc
@@ -1,11 +1,18 @@
 #include "support/scripted_server.h"
 
+#include <signal.h>
+
+#include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace wagtailwind::testing {
 
 namespace {
 constexpr std::size_t kMaxHeadBytes = 64U << 10U;
+constexpr std::size_t kPartBytes = 16U << 10U;
+// Ends a test whose peer reads everything before it exhausts the machine's memory.
+constexpr std::size_t kMaxWritten = std::size_t{256} << 20U;
 }  // namespace
 
 ScriptedServer::Connection::Connection(ScriptedServer& server, uv_stream_t* listener)
@@ -57,6 +64,34 @@
         m_connections.push_back(std::make_unique<Connection>(*this, listener));
       }) {}
 
+EndlessWriter::EndlessWriter(net::EventLoop& loop)
+    : m_timer(loop, [this] {
+        for (const Entry& entry : m_entries) {
+          while (!entry.connection->closed() && entry.connection->QueuedBytes() == 0 &&
+                 written < kMaxWritten) {
+            entry.connection->Write(entry.text);
+            written += entry.text.size();
+          }
+        }
+      }) {
+  // The peer may close its connection at any time, and a write to it must not end the process.
+  signal(SIGPIPE, SIG_IGN);
+  m_timer.StartPeriodic(std::chrono::milliseconds(1));
+}
+
+void EndlessWriter::Start(ScriptedServer::Connection& connection, std::string_view text) {
+  Entry& entry = m_entries.emplace_back(&connection);
+  while (entry.text.size() < kPartBytes) {
+    entry.text.append(text);
+  }
+}
+
+std::size_t EndlessWriter::OpenConnections() const {
+  return static_cast<std::size_t>(
+      std::count_if(m_entries.begin(), m_entries.end(),
+                    [](const Entry& entry) { return !entry.connection->closed(); }));
+}
+
 std::string HttpText(int status, std::string_view headers, std::string_view body) {
   std::string text = "HTTP/1.1 " + std::to_string(status) + " Status\r\n";
   text.append(headers);
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -32,6 +32,9 @@
 
     [[nodiscard]] bool closed() const noexcept { return m_stream == nullptr; }
 
+    /// \brief Number of written bytes that the kernel has not accepted yet.
+    [[nodiscard]] std::size_t QueuedBytes() const noexcept { return m_stream->QueuedBytes(); }
+
     /// Head and body of the last request.
     http1::MessageHead head;
     std::string body;
@@ -74,6 +77,30 @@
   net::TcpListener m_listener;
 };
 
+/// \brief Writes a text to connections again and again, as fast as the peers read it, until they
+/// close the connection.
+class EndlessWriter {
+ public:
+  explicit EndlessWriter(net::EventLoop& loop);
+
+  void Start(ScriptedServer::Connection& connection, std::string_view text);
+
+  /// \brief Number of connections that have not been closed by their peers.
+  [[nodiscard]] std::size_t OpenConnections() const;
+
+  /// Number of bytes that were written.
+  std::size_t written = 0;
+
+ private:
+  struct Entry {
+    ScriptedServer::Connection* connection;
+    std::string text;
+  };
+
+  std::list<Entry> m_entries;
+  net::Timer m_timer;
+};
+
 /// \brief Returns the text of an HTTP response with a Content-Length header.
 [[nodiscard]] std::string HttpText(int status, std::string_view headers, std::string_view body);
 
--- a/tests/unit/endpoint_transfer_test.cc
+++ b/tests/unit/endpoint_transfer_test.cc
@@ -9,8 +9,10 @@
 #include <thread>
 
 #include "endpoint/http_plain_service.h"
+#include "http/client.h"
 #include "http/server.h"
 #include "http/socket_address.h"
+#include "support/scripted_server.h"
 #include "support/stand_in_process.h"
 
 namespace {
@@ -23,6 +25,8 @@
 using wagtailwind::http::HandlerResult;
 using wagtailwind::http::Request;
 using wagtailwind::http::Server;
+using wagtailwind::testing::HttpText;
+using wagtailwind::testing::ScriptedServer;
 using wagtailwind::testing::StandInProcess;
 
 ServiceCall Call(const std::string& method, const std::string& path, bool repeatable) {
@@ -77,6 +81,41 @@
   std::thread m_thread;
 };
 
+/// Keeps connections open. The second request on a connection gets a copy of the first answer
+/// before its own answer.
+class RepeatingServer {
+ public:
+  RepeatingServer()
+      : m_server(m_loop,
+                 [](ScriptedServer::Connection& connection) {
+                   if (connection.requests > 1) {
+                     connection.Write(HttpText(200, "", "/1"));
+                   }
+                   connection.Write(HttpText(200, "", connection.head.target));
+                 }),
+        m_address(m_server.Address()),
+        m_thread([this] {
+          while (!m_stop) {
+            m_loop.RunFor(std::chrono::milliseconds(5));
+          }
+        }) {}
+  ~RepeatingServer() {
+    m_stop = true;
+    m_thread.join();
+  }
+  RepeatingServer(const RepeatingServer&) = delete;
+  RepeatingServer& operator=(const RepeatingServer&) = delete;
+
+  [[nodiscard]] const std::string& Address() const { return m_address; }
+
+ private:
+  wagtailwind::net::EventLoop m_loop;
+  ScriptedServer m_server;
+  std::string m_address;
+  std::atomic<bool> m_stop{false};
+  std::thread m_thread;
+};
+
 }  // namespace
 
 // Guards against a second execution: libcurl resends a request when a reused connection closes
@@ -154,3 +193,19 @@
   cr_assert(Send(server.Address(), Call("GET /x", "/a", true)).end == TransferEnd::kNotSent);
   cr_assert_eq(received.load(), 0);
 }
+
+// Guards against taking a late copy of an earlier answer for the answer to the next call on a
+// connection that is used again.
+Test(endpoint_transfer, a_late_copy_is_not_taken_for_the_next_answer) {
+  RepeatingServer server;
+  TransferLoop loop;
+  HttpPlainService plain(server.Address(), loop, 1000);
+  wagtailwind::http::Client client(server.Address());
+  for (const char* path : {"/1", "/2", "/3"}) {
+    std::promise<ServiceAnswer> answer;
+    plain.Send(Call("GET", path, true),
+               [&answer](ServiceAnswer received) { answer.set_value(std::move(received)); });
+    cr_assert_eq(answer.get_future().get().body, std::string(path));
+    cr_assert_eq(client.Send("GET", path, "", std::chrono::seconds(2)).body, std::string(path));
+  }
+}
