--- a/src/forward/caller_session.cc
+++ b/src/forward/caller_session.cc
@@ -13,6 +13,17 @@
 // Limit of bytes that a caller may pipeline before the response to its current request.
 constexpr std::size_t kMaxPendingBytes = 64U << 10U;
 
+// Bytes of earlier responses that may wait for a caller while its next request is handled.
+constexpr std::size_t kMaxQueuedBytes = 64U << 10U;
+
+// A body that arrives slowly gets the idle timeout for each part of this size. A caller that sends
+// a byte now and then gets it once.
+constexpr std::size_t kProgressBytes = 64U << 10U;
+
+// While the router stops, a new connection may wait this long for its first request, which is
+// already on its way.
+constexpr std::chrono::milliseconds kFirstRequestTime = 1'000ms;
+
 // Time for a refused caller to read the response. Closing the connection with unread request bytes
 // resets it, which can discard the response.
 constexpr std::chrono::milliseconds kLingerTime = 500ms;
@@ -31,6 +42,7 @@
       m_clock(clock),
       m_host(host),
       m_limits(host.Limits()),
+      m_accepted_at(clock.Now()),
       m_stream(loop, *this),
       m_parser(http1::MessageParser::Kind::kRequest, *this, m_limits.max_head_bytes),
       m_timer(loop, [this] { OnTimeout(); }) {
@@ -46,7 +58,24 @@
 
 void CallerSession::CloseWhenIdle() {
   m_close_when_idle = true;
-  if (m_phase == Phase::kReading && !m_parser.InMessage()) {
+  if (m_phase != Phase::kReading || m_parser.InMessage() || m_stream.HasUnreadBytes()) {
+    return;
+  }
+  const auto left = kFirstRequestTime - (m_clock.Now() - m_accepted_at);
+  if (!m_has_had_request && left > 0ms) {
+    m_timer.Start(left);
+    return;
+  }
+  BeginClose();
+}
+
+void CallerSession::BeginClose() {
+  m_phase = Phase::kClosing;
+  m_queued_before = m_stream.QueuedBytes();
+  if (m_queued_before > 0) {
+    m_stream.ShutDown();
+    m_timer.Start(m_limits.idle_timeout);
+  } else {
     End();
   }
 }
@@ -60,9 +89,16 @@
     Refuse(kRequestTimeout, "request was not completed in time");
     return;
   }
-  if (m_phase != Phase::kHandling) {
-    End();
+  if (m_phase == Phase::kHandling && !m_waits_for_drain) {
+    return;
   }
+  // A slow caller may take its time to read a response, but it has to make progress.
+  const std::size_t queued = m_stream.QueuedBytes();
+  if (queued > 0 && queued < std::exchange(m_queued_before, queued)) {
+    m_timer.Start(m_limits.idle_timeout);
+    return;
+  }
+  End();
 }
 
 void CallerSession::OnData(std::string_view data) {
@@ -145,10 +181,16 @@
   }
   m_reserved += part.size();
   m_request.body.append(part);
+  if (m_request.body.size() - m_counted_progress >= kProgressBytes) {
+    m_counted_progress = m_request.body.size();
+    m_timer.Start(m_limits.idle_timeout);
+  }
 }
 
 void CallerSession::StartTask() {
   m_phase = Phase::kHandling;
+  m_has_had_request = true;
+  m_counted_progress = 0;
   m_timer.Cancel();
   m_keep_alive = m_request.head.keep_alive;
   m_is_head_request = m_request.head.method == "HEAD";
@@ -231,10 +273,16 @@
 void CallerSession::NextRequest() {
   m_task.reset();
   m_host.ReleaseBody(std::exchange(m_reserved, 0));
+  m_queued_before = m_stream.QueuedBytes();
   if (!m_keep_alive || m_close_when_idle) {
     m_phase = Phase::kClosing;
     m_stream.ShutDown();
-    m_timer.Start(kLingerTime);
+    m_timer.Start(m_queued_before > 0 ? m_limits.idle_timeout : kLingerTime);
+    return;
+  }
+  if (m_queued_before > kMaxQueuedBytes) {
+    m_waits_for_drain = true;
+    m_timer.Start(m_limits.idle_timeout);
     return;
   }
   m_phase = Phase::kReading;
@@ -251,7 +299,11 @@
 }
 
 void CallerSession::OnDrained() {
-  if (m_phase == Phase::kHandling && m_task) {
+  if (m_phase == Phase::kClosing && !m_ended) {
+    m_timer.Start(kLingerTime);
+  } else if (std::exchange(m_waits_for_drain, false)) {
+    NextRequest();
+  } else if (m_phase == Phase::kHandling && m_task) {
     m_task->OnSinkDrained();
   }
 }
--- a/src/forward/caller_session.h
+++ b/src/forward/caller_session.h
@@ -55,7 +55,8 @@
   CallerSession(net::EventLoop& loop, const Clock& clock, SessionHost& host, uv_stream_t* listener);
   ~CallerSession() override;
 
-  /// \brief Ends the session now if it is idle; otherwise after its next response.
+  /// \brief Ends the session now if it is idle; otherwise after its next response. A new session
+  /// gets some time for its first request.
   void CloseWhenIdle();
 
  private:
@@ -85,6 +86,8 @@
   void OnTimeout();
   void ResponseDone();
   void NextRequest();
+  /// Closes the connection when the caller has had time to read what is queued for it.
+  void BeginClose();
   void HandleDisconnect();
   void End();
   void StartReadTimer();
@@ -94,6 +97,7 @@
   const Clock& m_clock;
   SessionHost& m_host;
   const CallerLimits m_limits;
+  const SteadyTime m_accepted_at;
   net::TcpStream m_stream;
   http1::MessageParser m_parser;
   net::Timer m_timer;
@@ -103,14 +107,21 @@
 
   Phase m_phase = Phase::kReading;
   CallerRequest m_request;
-  bool m_head_read = false;
   std::size_t m_reserved = 0;
+  /// Body bytes at the last restart of the timer.
+  std::size_t m_counted_progress = 0;
   /// Bytes received after the end of the current request.
   std::string m_pending;
   bool m_keep_alive = true;
   bool m_is_head_request = false;
   bool m_close_when_idle = false;
   bool m_reading_paused = false;
+  bool m_has_had_request = false;
+  /// The response is complete, but too many of its bytes wait for the caller to handle more
+  /// requests.
+  bool m_waits_for_drain = false;
+  /// Bytes that were queued for the caller when the timer was last checked.
+  std::size_t m_queued_before = 0;
   int m_refusal = 0;
   bool m_ended = false;
   std::unique_ptr<RequestTask> m_task;
--- a/src/forward/event_framer.cc
+++ b/src/forward/event_framer.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include "core/mutant.h"
+
 namespace wagtailwind::forward {
 
 namespace {
@@ -23,22 +25,42 @@
   return 0;
 }
 
+/// Whether a block of lines has a field, so that it is an event and not only comments.
+bool HasField(std::string_view block) noexcept {
+  while (!block.empty()) {
+    const char first = block.front();
+    if (first != ':' && first != '\r' && first != '\n') {
+      return true;
+    }
+    block.remove_prefix(std::min(block.find('\n'), block.size() - 1) + 1);
+  }
+  return false;
+}
+
 }  // namespace
 
-void EventFramer::Feed(std::string_view bytes, const Handler& handler) {
+bool EventFramer::Feed(std::string_view bytes, const Handler& handler) {
   // The line end before a blank line may be up to two bytes before the new bytes.
   constexpr std::size_t kLookBack = 3;
-  std::size_t from = m_partial.size() - std::min(m_partial.size(), kLookBack);
+  const std::size_t unfinished = m_partial.size() - m_comment_bytes;
+  std::size_t from = unfinished - std::min(unfinished, kLookBack);
   m_partial.append(bytes);
+  const std::string_view text = m_partial;
   std::size_t begin = 0;
-  while (const std::size_t length =
-             FirstEventLength(std::string_view(m_partial).substr(begin), from)) {
-    const std::string_view event = std::string_view(m_partial).substr(begin, length);
-    handler(event, EventId(event));
-    begin += length;
+  std::size_t block = m_comment_bytes;
+  while (const std::size_t length = FirstEventLength(text.substr(block), from)) {
+    const bool is_event = HasField(text.substr(block, length));
+    block += length;
     from = 0;
+    if (is_event) {
+      const std::string_view event = text.substr(begin, block - begin);
+      handler(event, EventId(event));
+      begin = block;
+    }
   }
+  m_comment_bytes = block - begin;
   m_partial.erase(0, begin);
+  return m_partial.size() <= kMaxEventBytes || IsMutantEnabled("forwarder_keeps_endless_events");
 }
 
 std::optional<std::uint64_t> EventId(std::string_view event) noexcept {
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -13,6 +13,7 @@
 #include "forward/confirmation.h"
 #include "forward/connection_pool.h"
 #include "forward/endpoint_registry.h"
+#include "forward/memory_budget.h"
 #include "forward/routing.h"
 #include "forward/traffic_share.h"
 #include "forward/wire_names.h"
@@ -43,6 +44,8 @@
   TrafficShare traffic_share;
   /// Retry budgets by service.
   std::map<std::string, requests::RetryBudget, std::less<>> retry_budgets;
+  /// Answers that have been received and not yet been sent to their callers.
+  MemoryBudget answer_memory;
 
   /// \brief Returns whether the configuration was confirmed recently to be the newest. If so,
   /// unknown routes and keys can be refused permanently, and the router is ready for callers.
--- a/src/forward/forward_task.cc
+++ b/src/forward/forward_task.cc
@@ -54,6 +54,7 @@
   if (m_connection) {
     CancelAttempt();
   }
+  m_context.answer_memory.Release(m_counted_memory);
 }
 
 void ForwardTask::Start() {
@@ -110,10 +111,8 @@
     RefuseUnknown(FailureReason::kUnknownApiKey);
     return false;
   }
-  const bool is_confirmed = m_context.confirmation.Age(m_context.clock.BootNow()) <=
-                            m_context.bounds.key_revocation - kRevocationMargin;
-  if (!is_confirmed && !IsMutantEnabled("forwarder_accepts_unconfirmed_keys")) {
-    Refuse(detail::kStatusUnavailable, FailureReason::kApiKeyNotConfirmed, kRetryWhenNotConfirmed);
+  if (!AreKeysConfirmed()) {
+    RefuseUnconfirmed();
     return false;
   }
   m_organisation = owner->organisation;
@@ -123,6 +122,26 @@
   return true;
 }
 
+bool ForwardTask::AreKeysConfirmed() const {
+  return m_context.confirmation.Age(m_context.clock.BootNow()) <=
+             m_context.bounds.key_revocation - kRevocationMargin ||
+         IsMutantEnabled("forwarder_accepts_unconfirmed_keys");
+}
+
+bool ForwardTask::IsKeyAccepted() const {
+  if (m_organisation.empty()) {
+    return true;
+  }
+  const auto& newest = m_context.configuration;
+  return AreKeysConfirmed() && (newest == m_configuration ||
+                                newest->FindKey(http::FindHeader(
+                                    m_request.head.headers, m_context.names.api_key)) != nullptr);
+}
+
+void ForwardTask::RefuseUnconfirmed() {
+  Refuse(detail::kStatusUnavailable, FailureReason::kApiKeyNotConfirmed, kRetryWhenNotConfirmed);
+}
+
 void ForwardTask::RefuseUnknown(FailureReason reason) {
   // A newer configuration that has not arrived yet may contain the route or key.
   if (m_context.IsConfirmed()) {
--- a/src/forward/forward_task.h
+++ b/src/forward/forward_task.h
@@ -55,9 +55,15 @@
   /// @{
   [[nodiscard]] bool FindRoute();
   [[nodiscard]] bool CheckKey();
+  /// Whether the configuration was confirmed recently enough to accept keys.
+  [[nodiscard]] bool AreKeysConfirmed() const;
+  /// Whether the request's key, if it needs one, is still accepted.
+  [[nodiscard]] bool IsKeyAccepted() const;
   /// Refuses an unknown route or key: permanently, or with a retry time if the configuration may be
   /// outdated.
   void RefuseUnknown(requests::FailureReason reason);
+  /// Refuses a request whose key may have been revoked.
+  void RefuseUnconfirmed();
   [[nodiscard]] bool FindEndpoints();
   void ReadDeadline();
   [[nodiscard]] std::optional<ServiceName> ChooseService() const;
@@ -87,6 +93,7 @@
 
   /// \name Answer of the endpoint
   /// @{
+  [[nodiscard]] bool UpdateRequest(std::string& request) override;
   void OnSending() override;
   [[nodiscard]] bool OnResponseHead(http1::MessageHead head) override;
   void OnResponseBody(std::string_view part) override;
@@ -94,6 +101,19 @@
   void OnConnectionEnd(http1::ConnectionEnd end, std::string_view detail) override;
   [[nodiscard]] AnswerKind Classify(const http1::MessageHead& head) const;
   void RecordLoadReport(const http1::MessageHead& head);
+  /// Whether the current answer is not a success.
+  [[nodiscard]] bool IsErrorAnswer() const noexcept;
+  void ReadBuffered(std::string_view part);
+  void ReadEvents(std::string_view part);
+  void ReadErrorBody(std::string_view part);
+  /// Stops reading the current answer, and ends the attempt after the current event.
+  void AbandonAnswer(std::string_view reason);
+  /// Ends the attempt of an error answer whose body is incomplete.
+  void EndErrorAnswer();
+  /// Passes bytes on to the caller, and stops reading while too many are queued for it.
+  void PassOn(std::string_view bytes);
+  /// Updates the memory that this request counts for in the process's budget.
+  void CountMemory();
   void FinishAnswer();
   /// Handles an error response to a request that the endpoint has run.
   void FinishFailure(const EndpointPtr& endpoint);
@@ -149,12 +169,24 @@
   AnswerKind m_kind = AnswerKind::kNone;
   http1::MessageHead m_answer_head;
   std::string m_answer_body;
+  /// Size of the body at the last restart of the silence timer.
+  std::size_t m_counted_progress = 0;
+  std::size_t m_error_bytes = 0;
+  /// Size of events that the caller had already received.
+  std::size_t m_repeated_bytes = 0;
+  std::string_view m_invalid_reason;
   EventFramer m_framer;
   bool m_reading_paused = false;
+  /// The request was not written, because it was too late for that.
+  bool m_withdrawn = false;
   /// Time of the last event of this attempt.
   std::optional<SteadyTime> m_last_event_at;
   /// @}
 
+  /// Whether any attempt was written to a connection.
+  bool m_any_sent = false;
+  /// Bytes that this request counts for in the process's budget.
+  std::size_t m_counted_memory = 0;
   /// Head of the first response that began a stream, which is used for the response to the caller.
   std::optional<http1::MessageHead> m_stream_head;
   bool m_stream_began = false;
--- a/src/forward/forward_task_answer.cc
+++ b/src/forward/forward_task_answer.cc
@@ -24,6 +24,24 @@
 // attempt.
 constexpr std::size_t kMaxBufferedBytes = 512U << 10U;
 
+// The same while the process holds too many answers.
+constexpr std::size_t kMinQueuedBytes = 16U << 10U;
+
+// A stalled answer that sends single bytes must not count as progressing: the silence timer
+// restarts only after this many bytes of a buffered answer.
+constexpr std::size_t kProgressBytes = 4U << 10U;
+
+// A resumed stream may repeat what the caller has received; this is more than any answer has.
+constexpr std::size_t kMaxRepeatedBytes = 1U << 20U;
+
+// Error answers are short. What exceeds these limits is not an answer, and its head already tells
+// what to do next.
+constexpr std::size_t kMaxErrorBytes = 64U << 10U;
+constexpr std::chrono::milliseconds kErrorBodyTimeout = 500ms;
+
+constexpr std::string_view kUnusableAnswer =
+    "response is unsigned, encoded, or no continuation of the stream";
+
 // A full endpoint gets no new request for about the duration of a short request.
 constexpr std::chrono::milliseconds kFullBackoff = 100ms;
 
@@ -54,8 +72,19 @@
 
 }  // namespace
 
+bool ForwardTask::UpdateRequest(std::string& request) {
+  m_withdrawn = !m_connection->endpoint->usable || TimeLeft() <= 0ns || !IsKeyAccepted();
+  if (m_withdrawn) {
+    return false;
+  }
+  // The time left has changed while the connection was established.
+  request = RequestText(m_connection->endpoint);
+  return true;
+}
+
 void ForwardTask::OnSending() {
   m_sent = true;
+  m_any_sent = true;
   m_connection->endpoint->health.OnSent(m_context.clock.Now());
   m_decision->OnHandedOver(m_attempt);
 }
@@ -109,45 +138,116 @@
     m_decision->OnAdmitted(m_attempt);
     m_decision->OnHead(m_attempt);
   }
-  if (m_kind == AnswerKind::kEvents) {
-    if (!m_stream_head) {
-      m_stream_head = head;
-    }
-  } else {
-    m_silence_timer.Cancel();
+  if (m_kind == AnswerKind::kEvents && !m_stream_head) {
+    m_stream_head = head;
+  }
+  if (IsErrorAnswer()) {
+    m_invalid_reason = kUnusableAnswer;
+    m_silence_timer.Start(kErrorBodyTimeout);
+  } else if (m_kind == AnswerKind::kBuffered) {
+    RestartSilenceTimer();
   }
   m_answer_head = std::move(head);
   return true;
 }
 
+bool ForwardTask::IsErrorAnswer() const noexcept {
+  return m_kind == AnswerKind::kRefusal || m_kind == AnswerKind::kOtherProcess ||
+         m_kind == AnswerKind::kFailure || m_kind == AnswerKind::kInvalid;
+}
+
 void ForwardTask::OnResponseBody(std::string_view part) {
   m_connection->endpoint->health.OnBytesReceived(m_context.clock.Now());
-  if (m_kind == AnswerKind::kEvents) {
-    m_framer.Feed(part, [this](std::string_view event, std::optional<std::uint64_t> id) {
-      OnEvent(event, id);
-    });
+  if (m_kind == AnswerKind::kBuffered) {
+    ReadBuffered(part);
+  } else if (m_kind == AnswerKind::kEvents) {
+    ReadEvents(part);
+  } else {
+    ReadErrorBody(part);
+  }
+  CountMemory();
+}
+
+void ForwardTask::ReadEvents(std::string_view part) {
+  const bool is_valid = m_framer.Feed(
+      part,
+      [this](std::string_view event, std::optional<std::uint64_t> id) { OnEvent(event, id); });
+  if (!is_valid) {
+    AbandonAnswer("event exceeds the limit");
+  } else if (m_repeated_bytes > kMaxRepeatedBytes) {
+    AbandonAnswer("stream only repeats events");
+  }
+}
+
+void ForwardTask::ReadBuffered(std::string_view part) {
+  if (m_stream_began) {
+    PassOn(part);
     return;
   }
-  if (m_stream_began && m_kind == AnswerKind::kBuffered) {
-    if (m_sink != nullptr) {
-      m_sink->StreamPart(part);
-    }
+  if (m_sink == nullptr) {
     return;
   }
   m_answer_body.append(part);
-  if (m_answer_body.size() <= kMaxBufferedBytes) {
+  if (m_answer_body.size() - m_counted_progress >= kProgressBytes) {
+    m_counted_progress = m_answer_body.size();
+    RestartSilenceTimer();
+  }
+  if (m_answer_body.size() <= kMaxBufferedBytes && !m_context.answer_memory.IsExhausted()) {
     return;
   }
-  if (m_kind == AnswerKind::kBuffered && m_sink != nullptr) {
-    m_stream_head = m_answer_head;
-    BeginStreamToCaller();
-    PinAttempt();
-    m_sink->StreamPart(m_answer_body);
-  } else {
-    // An error response or refusal of this size is never passed on.
+  m_stream_head = m_answer_head;
+  BeginStreamToCaller();
+  PinAttempt();
+  m_silence_timer.Cancel();
+  PassOn(m_answer_body);
+  std::string().swap(m_answer_body);
+}
+
+void ForwardTask::ReadErrorBody(std::string_view part) {
+  m_error_bytes += part.size();
+  if (m_error_bytes > kMaxErrorBytes) {
+    AbandonAnswer("error response exceeds the limit");
+  } else if (m_kind == AnswerKind::kFailure) {
+    m_answer_body.append(part);
+  }
+}
+
+void ForwardTask::AbandonAnswer(std::string_view reason) {
+  if (m_kind != AnswerKind::kRefusal && m_kind != AnswerKind::kOtherProcess) {
     m_kind = AnswerKind::kInvalid;
+    m_invalid_reason = reason;
   }
   m_answer_body.clear();
+  m_framer.Reset();
+  // The connection can't be closed while it reports bytes.
+  m_connection->connection->StopReading();
+  m_silence_timer.Start(0ns);
+}
+
+void ForwardTask::EndErrorAnswer() {
+  if (m_kind == AnswerKind::kFailure) {
+    m_kind = AnswerKind::kInvalid;
+    m_invalid_reason = "incomplete error response";
+  }
+  OnResponseEnd(false);
+}
+
+void ForwardTask::PassOn(std::string_view bytes) {
+  m_sink->StreamPart(bytes);
+  const std::size_t limit =
+      m_context.answer_memory.IsExhausted() ? kMinQueuedBytes : kMaxQueuedBytes;
+  if (m_sink->QueuedBytes() > limit && !m_reading_paused &&
+      !IsMutantEnabled("forwarder_ignores_slow_callers")) {
+    m_reading_paused = true;
+    m_connection->connection->StopReading();
+    m_silence_timer.Cancel();
+  }
+}
+
+void ForwardTask::CountMemory() {
+  const std::size_t held = m_answer_body.size() + m_framer.Rest().size() +
+                           (m_sink != nullptr ? m_sink->QueuedBytes() : 0);
+  m_context.answer_memory.Resize(std::exchange(m_counted_memory, held), held);
 }
 
 void ForwardTask::PinAttempt() {
@@ -159,6 +259,7 @@
   // A resumed stream may repeat events that the caller has already received.
   if (id && m_last_event_id && *id <= *m_last_event_id &&
       !IsMutantEnabled("forwarder_resumes_from_the_start")) {
+    m_repeated_bytes += event.size();
     return;
   }
   const SteadyTime now = m_context.clock.Now();
@@ -183,15 +284,11 @@
     return;
   }
   BeginStreamToCaller();
-  m_sink->StreamPart(event);
-  if (m_sink->QueuedBytes() > kMaxQueuedBytes && !m_reading_paused) {
-    m_reading_paused = true;
-    m_connection->connection->StopReading();
-    m_silence_timer.Cancel();
-  }
+  PassOn(event);
 }
 
 void ForwardTask::OnSinkDrained() {
+  CountMemory();
   if (std::exchange(m_reading_paused, false) && m_connection) {
     m_connection->connection->StartReading();
     RestartSilenceTimer();
@@ -245,7 +342,7 @@
       CountAttempt("invalid");
       endpoint->health.OnFailure(AttemptFailure::kErrorResponse, now);
       LogFailedAttempt(endpoint, requests::ToText(FailureReason::kConnectionLost),
-                       {"detail", "response without signature or with a content encoding"});
+                       {"detail", m_invalid_reason});
       RunStep(m_decision->OnLost(m_attempt, FailureReason::kConnectionLost));
       return;
   }
@@ -287,8 +384,9 @@
   if (end == http1::ConnectionEnd::kNotConnected) {
     const EndpointPtr endpoint = m_connection->endpoint;
     LogFailedAttempt(endpoint, http1::ToText(end), {"detail", detail});
-    CountAttempt("not_connected");
-    endpoint->health.OnFailure(AttemptFailure::kNotConnected, m_context.clock.Now());
+    CountAttempt(m_withdrawn ? "withdrawn" : "not_connected");
+    m_withdrawn ? endpoint->health.OnNotSent()
+                : endpoint->health.OnFailure(AttemptFailure::kNotConnected, m_context.clock.Now());
     EndAttempt();
     RunStep(m_decision->OnNotHandedOver(m_attempt));
     return;
@@ -392,6 +490,7 @@
 
 void ForwardTask::Close(int status, std::string_view outcome, FailureReason reason) {
   m_done = true;
+  m_context.answer_memory.Release(std::exchange(m_counted_memory, 0));
   m_deadline_timer.Cancel();
   m_silence_timer.Cancel();
   const SteadyTime now = m_context.clock.Now();
--- a/src/forward/forward_task_attempts.cc
+++ b/src/forward/forward_task_attempts.cc
@@ -39,6 +39,12 @@
 }
 
 void ForwardTask::RunStep(router::Step step) {
+  // The process may have been suspended since the key was checked. Once a request has been sent,
+  // its key stays accepted: the caller sent the request before the key could have been revoked.
+  if (step.kind == router::Step::Kind::kAttempt && !m_any_sent && !IsKeyAccepted()) {
+    RefuseUnconfirmed();
+    return;
+  }
   while (step.kind == router::Step::Kind::kAttempt) {
     const auto endpoint =
         std::find_if(m_ranked.begin(), m_ranked.end(), [&step](const EndpointPtr& candidate) {
@@ -70,7 +76,12 @@
   m_kind = AnswerKind::kNone;
   m_last_event_at.reset();
   m_answer_body.clear();
+  m_counted_progress = 0;
+  m_error_bytes = 0;
+  m_repeated_bytes = 0;
   m_framer.Reset();
+  m_reading_paused = false;
+  m_withdrawn = false;
   m_connection = m_context.pool.Acquire(endpoint);
   endpoint->load.OnSent();
   if (step.attempt > 1) {
@@ -187,7 +198,8 @@
 }
 
 void ForwardTask::RestartSilenceTimer() {
-  if (!m_route->IsRepeatable() || m_is_pinned) {
+  // While reading is paused for a slow caller, silence says nothing about the endpoint.
+  if (!m_route->IsRepeatable() || m_is_pinned || m_reading_paused) {
     m_silence_timer.Cancel();
     return;
   }
@@ -200,7 +212,11 @@
 }
 
 void ForwardTask::OnSilenceTimeout() {
-  if (!m_connection || m_kind == AnswerKind::kRefusal) {
+  if (!m_connection) {
+    return;
+  }
+  if (IsErrorAnswer()) {
+    EndErrorAnswer();
     return;
   }
   const bool has_alternative =
@@ -211,6 +227,9 @@
       });
   if (has_alternative) {
     FailAttempt(FailureReason::kEngineLost, "silent");
+  } else {
+    // An endpoint or a retry may become available while the endpoint stays silent.
+    RestartSilenceTimer();
   }
 }
 
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -23,11 +23,16 @@
 // Part of the grace time that is reserved for the shutdown itself.
 constexpr std::chrono::milliseconds kStopMargin = 400ms;
 
+// The listener stays open while connections wait to be accepted, because closing it resets them.
+constexpr std::chrono::milliseconds kAcceptPollInterval = 1ms;
+
 // Interval of periodic work: idle connections, expired endpoints, readiness.
 constexpr std::chrono::milliseconds kTickInterval = 250ms;
 
-// Request bodies may take one part in this many of the memory limit.
+// Request bodies, and answers that wait for their callers, may each take one part in this many of
+// the memory limit.
 constexpr std::uint64_t kBodyMemoryDivisor = 4;
+constexpr std::uint64_t kAnswerMemoryDivisor = 4;
 
 // Pause of an endpoint watch after changes, as a fraction of the drain bound, after which a
 // draining endpoint must get no more requests. Because of the pause, one call returns several
@@ -109,7 +114,9 @@
 class Forwarder::CallerHost final : public SessionHost {
  public:
   explicit CallerHost(Forwarder& forwarder)
-      : m_sessions(forwarder.m_context.loop, forwarder.m_context.clock), m_forwarder(forwarder) {}
+      : m_sessions(forwarder.m_context.loop, forwarder.m_context.clock),
+        m_forwarder(forwarder),
+        m_body_memory(forwarder.m_settings.memory_bytes / kBodyMemoryDivisor) {}
 
   [[nodiscard]] std::unique_ptr<RequestTask> MakeTask(CallerRequest request,
                                                       ResponseSink& sink) override {
@@ -125,13 +132,9 @@
   [[nodiscard]] bool ClosesConnections() const override { return !m_forwarder.IsReady(); }
 
   [[nodiscard]] bool ReserveBody(std::size_t bytes) override {
-    if (m_body_bytes + bytes > m_forwarder.m_settings.memory_bytes / kBodyMemoryDivisor) {
-      return false;
-    }
-    m_body_bytes += bytes;
-    return true;
+    return m_body_memory.TryReserve(bytes);
   }
-  void ReleaseBody(std::size_t bytes) noexcept override { m_body_bytes -= bytes; }
+  void ReleaseBody(std::size_t bytes) noexcept override { m_body_memory.Release(bytes); }
 
   void KeepDetached(std::unique_ptr<RequestTask> task) override {
     RequestTask* key = task.get();
@@ -145,7 +148,7 @@
     m_forwarder.m_context.metrics.GetCounter("forward_unread_requests_total").Add();
   }
 
-  [[nodiscard]] std::size_t BodyBytes() const noexcept { return m_body_bytes; }
+  [[nodiscard]] std::size_t BodyBytes() const noexcept { return m_body_memory.used(); }
 
   [[nodiscard]] bool IsEmpty() const noexcept {
     return m_sessions.Size() == 0 && m_detached.empty();
@@ -164,7 +167,7 @@
 
   Forwarder& m_forwarder;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
-  std::size_t m_body_bytes = 0;
+  MemoryBudget m_body_memory;
   /// Tasks that continue after their callers have disconnected.
   std::unordered_map<RequestTask*, std::unique_ptr<RequestTask>> m_detached;
 };
@@ -190,7 +193,8 @@
                 .confirmation = {},
                 .configuration = {},
                 .traffic_share = {},
-                .retry_budgets = {}},
+                .retry_budgets = {},
+                .answer_memory = MemoryBudget(settings.memory_bytes / kAnswerMemoryDivisor)},
       m_adapter(adapter),
       m_settings(settings),
       m_on_stopped(std::move(on_stopped)),
@@ -267,6 +271,7 @@
   set("forward_routers_estimate",
       static_cast<std::size_t>(m_context.traffic_share.EstimatedRouters()));
   set("forward_body_bytes", m_callers->BodyBytes());
+  set("forward_answer_bytes", m_context.answer_memory.used());
   if (const auto age = m_context.confirmation.AgeMilliseconds(m_context.clock.BootNow())) {
     constexpr double kMillisecondsPerSecond = 1000;
     metrics.GetGauge("forward_confirmation_age_seconds")
@@ -288,14 +293,19 @@
 }
 
 void Forwarder::OnStopTimer() {
-  if (m_caller_listener) {
-    m_caller_listener.reset();
-    m_callers->m_sessions.CloseIdle();
-    const auto used = m_context.clock.Now() - m_stop_started_at;
-    m_stop_timer.Start(m_context.bounds.grace - kStopMargin - used);
+  if (!m_caller_listener) {
+    ForceStop();
+    return;
+  }
+  const auto left =
+      m_context.bounds.grace - kStopMargin - (m_context.clock.Now() - m_stop_started_at);
+  if (m_caller_listener->HasPendingConnection() && left > kAcceptPollInterval) {
+    m_stop_timer.Start(kAcceptPollInterval);
     return;
   }
-  ForceStop();
+  m_caller_listener.reset();
+  m_callers->m_sessions.CloseIdle();
+  m_stop_timer.Start(left);
 }
 
 void Forwarder::CheckStopped() {
--- a/src/forward/prefix_feed.cc
+++ b/src/forward/prefix_feed.cc
@@ -27,12 +27,17 @@
 constexpr std::chrono::milliseconds kFirstBackoff = 100ms;
 constexpr std::chrono::milliseconds kMaxBackoff = 600ms;
 
-// The service may treat a wait of zero as if none were given.
-constexpr std::chrono::milliseconds kMinWait = 1ms;
-
 // The timers of the service have millisecond resolution and may expire this much too early.
 constexpr std::chrono::milliseconds kTimerResolution = 2ms;
 
+// The service may treat a wait of zero as if none were given. A longer wait than the resolution of
+// its timers tells a watch that was quiet from one that was cut short.
+constexpr std::chrono::milliseconds kMinWait = 5ms;
+
+// Several versions of a configuration of the largest size. Two feeds that hold this much, and the
+// records decoded from it, fit into the smallest instance.
+constexpr std::size_t kMaxAnswerBytes = 8U << 20U;
+
 constexpr int kOk = 200;
 constexpr int kGone = 410;
 
@@ -48,25 +53,38 @@
       m_metrics(metrics),
       m_settings(std::move(settings)),
       m_listener(listener),
-      m_timer(loop,
-              [this] { m_call_in_progress ? OnCallFailed("no answer in time") : SendCall(); }) {
+      m_timer(loop, [this] { OnTimer(); }) {
   ScheduleCall(0ms);
 }
 
 PrefixFeed::~PrefixFeed() = default;
 
+void PrefixFeed::OnTimer() {
+  if (!m_call_in_progress) {
+    SendCall();
+    return;
+  }
+  if (m_is_too_large && m_phase == Phase::kWatch) {
+    // A full read contains only the newest state of each key.
+    m_phase = Phase::kRange;
+  }
+  OnCallFailed(m_is_too_large ? "answer exceeds the limit" : "no answer in time");
+}
+
 void PrefixFeed::ScheduleCall(std::chrono::milliseconds delay) { m_timer.Start(delay); }
 
 void PrefixFeed::SendCall() {
+  m_sent_at = m_clock.BootNow();
   if (!m_connection) {
     m_connection =
         std::make_unique<http1::ClientConnection>(m_loop, m_settings.address, kConnectTimeout);
     m_connection->SetPeerTimeout(kPeerTimeout);
+    m_connection_used_since = m_sent_at;
   }
   m_call_in_progress = true;
   m_status = 0;
   m_body.clear();
-  m_sent_at = m_clock.BootNow();
+  m_is_too_large = false;
   m_call_started_at = m_clock.Now();
   m_wait = 0ms;
   std::string request;
@@ -88,7 +106,19 @@
   return true;
 }
 
-void PrefixFeed::OnResponseBody(std::string_view part) { m_body.append(part); }
+void PrefixFeed::OnResponseBody(std::string_view part) {
+  if (m_is_too_large) {
+    return;
+  }
+  m_body.append(part);
+  if (m_body.size() > kMaxAnswerBytes) {
+    m_is_too_large = true;
+    std::string().swap(m_body);
+    // The connection can't be closed while it reports bytes.
+    m_connection->StopReading();
+    m_timer.Start(0ms);
+  }
+}
 
 void PrefixFeed::OnResponseEnd(bool reusable) {
   m_call_in_progress = false;
@@ -191,6 +221,10 @@
 
 void PrefixFeed::FinishWatch() {
   const platform::WatchPage page = m_codec.DecodeWatch(m_body);
+  if (IsLateCopy(page)) {
+    OnCallFailed("late copy of an earlier answer");
+    return;
+  }
   OnCallSucceeded();
   const BootTime valid_as_of = ValidAsOf(page);
   m_next_wait = m_settings.watch_time;
@@ -206,19 +240,34 @@
   for (const platform::KeyValueItem& change : page.changes) {
     m_watch_after = std::max(m_watch_after, change.revision);
   }
+  if (valid_as_of < m_sent_at) {
+    // The response to this call may still follow, and would be taken for that to the next one.
+    m_connection.reset();
+  }
   m_listener.OnChanges(page.changes, valid_as_of);
   ScheduleCall(page.changes.empty() ? 0ms : m_settings.pause_after_change);
 }
 
+bool PrefixFeed::IsLateCopy(const platform::WatchPage& page) const noexcept {
+  return std::any_of(
+      page.changes.begin(), page.changes.end(),
+      [this](const platform::KeyValueItem& change) { return change.revision <= m_watch_after; });
+}
+
 // The service ends a watch without a change only after its wait, counted from its arrival. A
 // response that arrives earlier or later proves only the state at the time of sending: the watch
 // may have been cut short, or the response may have been unread while this process was suspended.
+// On a connection that has carried other calls, it may even be a late copy of an earlier response;
+// it then proves only the state at the time of the connection's first call.
 BootTime PrefixFeed::ValidAsOf(const platform::WatchPage& page) const noexcept {
   const auto waited = m_wait - kTimerResolution;
   const auto elapsed = m_clock.BootNow() - m_sent_at;
   const bool ran_full_wait =
       waited > 0ms && elapsed >= waited && elapsed <= m_wait + kAnswerTimeout;
-  return page.changes.empty() && ran_full_wait ? m_sent_at + waited : m_sent_at;
+  if (!page.changes.empty()) {
+    return m_sent_at;
+  }
+  return ran_full_wait ? m_sent_at + waited : m_connection_used_since;
 }
 
 void PrefixFeed::Resynchronise() {
--- a/src/forward/prefix_feed.h
+++ b/src/forward/prefix_feed.h
@@ -79,8 +79,12 @@
   void OnCallFailed(std::string_view reason);
   void FinishRange();
   void FinishWatch();
+  /// Whether a watch response repeats changes that were known before the call, so that it is a late
+  /// copy of an earlier response.
+  [[nodiscard]] bool IsLateCopy(const platform::WatchPage& page) const noexcept;
   /// Returns the time up to which a watch response proves the absence of further changes.
   [[nodiscard]] BootTime ValidAsOf(const platform::WatchPage& page) const noexcept;
+  void OnTimer();
   /// Reads the whole prefix again.
   void Resynchronise();
 
@@ -103,7 +107,11 @@
   Phase m_phase = Phase::kRange;
   int m_status = 0;
   std::string m_body;
+  /// The response exceeds the limit; the rest of it is not read.
+  bool m_is_too_large = false;
   BootTime m_sent_at{};
+  /// Time at which the first call on the connection was sent.
+  BootTime m_connection_used_since{};
   std::chrono::milliseconds m_wait{0};
   SteadyTime m_call_started_at{};
   SteadyTime m_last_failed_at{};
--- a/src/http1/client_connection.cc
+++ b/src/http1/client_connection.cc
@@ -9,8 +9,14 @@
 // Limits the memory used for a malformed response. Endpoints send far smaller heads.
 constexpr std::size_t kMaxResponseHeadBytes = 64U << 10U;
 
+constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
 
+// Limits on what may precede the response to a call: interim responses, and late copies of earlier
+// responses.
+constexpr int kMaxSkippedResponses = 16;
+constexpr std::size_t kMaxSkippedBytes = 512U << 10U;
+
 }  // namespace
 
 std::string_view ToText(ConnectionEnd end) noexcept {
@@ -42,6 +48,8 @@
   m_is_head = is_head;
   m_in_call = true;
   m_skipping_response = false;
+  m_skipped_responses = 0;
+  m_skipped_bytes = 0;
   m_parser.Restart();
   if (!m_connected) {
     m_pending_request = std::move(request);
@@ -56,6 +64,10 @@
   m_connect_timer.reset();
   m_stream.StartReading();
   if (m_in_call) {
+    if (!m_observer->UpdateRequest(m_pending_request)) {
+      End(ConnectionEnd::kNotConnected, "not sent in time");
+      return;
+    }
     m_observer->OnSending();
     m_stream.Write(m_pending_request);
     std::string().swap(m_pending_request);
@@ -69,6 +81,10 @@
   }
   while (!data.empty()) {
     data.remove_prefix(m_parser.Feed(data));
+    if (const std::string_view violation = Violation(); !violation.empty()) {
+      End(ConnectionEnd::kMalformed, violation);
+      return;
+    }
     if (m_parser.state() == MessageParser::State::kReading) {
       return;
     }
@@ -109,16 +125,30 @@
   m_keep_alive = head.keep_alive;
   if (head.status < kFirstFinalStatus) {
     // An interim response, which is followed by the final one.
+    m_switched_protocol = head.status == kSwitchingProtocols;
     m_skipping_response = true;
     m_keep_alive = true;
+    ++m_skipped_responses;
     return false;
   }
   m_skipping_response = !m_observer->OnResponseHead(std::move(head));
+  m_skipped_responses += m_skipping_response ? 1 : 0;
   return !m_is_head;
 }
 
+std::string_view ClientConnection::Violation() const noexcept {
+  if (m_switched_protocol) {
+    return "switched to another protocol without being asked";
+  }
+  return m_skipped_responses > kMaxSkippedResponses || m_skipped_bytes > kMaxSkippedBytes
+             ? "too many bytes before the response"
+             : "";
+}
+
 void ClientConnection::OnBody(std::string_view part) {
-  if (!m_skipping_response) {
+  if (m_skipping_response) {
+    m_skipped_bytes += part.size();
+  } else {
     m_observer->OnResponseBody(part);
   }
 }
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -33,6 +33,11 @@
  public:
   virtual ~ResponseObserver() = default;
 
+  /// \brief Called when a request that waited for its connection can be written. The observer may
+  /// replace it; returns false if it must not be sent any more, which ends the call as
+  /// kNotConnected.
+  [[nodiscard]] virtual bool UpdateRequest(std::string& /*request*/) { return true; }
+
   /// \brief The request is about to be written to the connection.
   virtual void OnSending() {}
 
@@ -79,6 +84,9 @@
   void OnBody(std::string_view part) override;
   void OnMessageComplete() override {}
 
+  /// Returns why the peer's bytes before the call's own response are not acceptable; empty if they
+  /// are.
+  [[nodiscard]] std::string_view Violation() const noexcept;
   void FinishCall(std::string_view rest);
   void End(ConnectionEnd end, std::string_view detail);
 
@@ -92,6 +100,10 @@
   bool m_in_call = false;
   bool m_skipping_response = false;
   bool m_keep_alive = false;
+  bool m_switched_protocol = false;
+  /// Responses to other calls and interim responses that preceded the response to this call.
+  int m_skipped_responses = 0;
+  std::size_t m_skipped_bytes = 0;
 };
 
 }  // namespace wagtailwind::http1
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -7,6 +7,9 @@
 
 namespace {
 
+// A timer that fires later than this shows that the process was held up.
+constexpr std::uint64_t kHeldUpMs = 50;
+
 void ThrowOnError(int result, const char* call) {
   if (result < 0) {
     throw SocketFailed(std::string(call) + ": " + uv_strerror(result));
@@ -68,9 +71,22 @@
       std::max(delay, std::chrono::nanoseconds::zero()));
   // The loop caches the time of its last wake-up, which is out of date in a long callback.
   uv_update_time(m_handle->timer.loop);
-  uv_timer_start(
-      &m_handle->timer, [](uv_timer_t* timer) { static_cast<Handle*>(timer->data)->function(); },
-      static_cast<std::uint64_t>(rounded_up.count()), 0);
+  const auto milliseconds = static_cast<std::uint64_t>(rounded_up.count());
+  m_handle->due = uv_now(m_handle->timer.loop) + milliseconds;
+  uv_timer_start(&m_handle->timer, &Timer::OnExpired, milliseconds, 0);
+}
+
+// The loop runs expired timers before it reads its sockets. After a pause of the process, a
+// time-out would otherwise discard an answer that has already arrived.
+void Timer::OnExpired(uv_timer_t* timer) {
+  auto* handle = static_cast<Handle*>(timer->data);
+  const std::uint64_t now = uv_now(timer->loop);
+  if (now > handle->due + kHeldUpMs) {
+    handle->due = now;
+    uv_timer_start(timer, &Timer::OnExpired, 1, 0);
+    return;
+  }
+  handle->function();
 }
 
 void Timer::StartPeriodic(std::chrono::milliseconds interval) {
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -4,6 +4,7 @@
 #include <uv.h>
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -50,7 +51,8 @@
   uv_loop_t m_loop{};
 };
 
-/// \brief Calls a function once after a delay, or periodically.
+/// \brief Calls a function once after a delay, or periodically. If the process was held up beyond
+/// the end of the delay, events that arrived meanwhile are handled first, and may cancel the timer.
 class Timer {
  public:
   Timer(EventLoop& loop, std::function<void()> function);
@@ -67,7 +69,11 @@
   struct Handle {
     uv_timer_t timer{};
     std::function<void()> function;
+    /// Loop time at which a one-shot timer is due, in milliseconds.
+    std::uint64_t due = 0;
   };
+  static void OnExpired(uv_timer_t* timer);
+
   Handle* m_handle;
 };
 
--- a/src/net/tcp_stream.cc
+++ b/src/net/tcp_stream.cc
@@ -2,6 +2,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -28,6 +29,13 @@
   *buffer = uv_buf_init(bytes.data(), bytes.size());
 }
 
+/// Whether a socket is readable: of a listener, whether a connection waits to be accepted.
+bool IsReadable(const uv_tcp_t& tcp) noexcept {
+  pollfd entry{.fd = -1, .events = POLLIN, .revents = 0};
+  return uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp), &entry.fd) == 0 &&
+         poll(&entry, 1, 0) > 0 && (entry.revents & POLLIN) != 0;
+}
+
 /// Returns the socket error of a connection for which the loop reported an end of file, or 0 if the
 /// peer closed it gracefully.
 int PendingError(const uv_tcp_t& tcp) noexcept {
@@ -208,6 +216,8 @@
   return uv_stream_get_write_queue_size(m_handle->Stream());
 }
 
+bool TcpStream::HasUnreadBytes() const noexcept { return IsReadable(m_handle->tcp); }
+
 void TcpStream::ShutDown() {
   auto* request = new uv_shutdown_t{};
   if (uv_shutdown(request, m_handle->Stream(), [](uv_shutdown_t* done, int) { delete done; }) < 0) {
@@ -265,6 +275,8 @@
            [](uv_handle_t* handle) { delete static_cast<Handle*>(handle->data); });
 }
 
+bool TcpListener::HasPendingConnection() const noexcept { return IsReadable(m_handle->tcp); }
+
 std::string TcpListener::Address() const {
   sockaddr_storage storage{};
   int size = sizeof(storage);
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -61,6 +61,9 @@
   /// \brief Number of bytes passed to Write() that the kernel has not accepted yet.
   [[nodiscard]] std::size_t QueuedBytes() const noexcept;
 
+  /// \brief Whether the kernel holds received bytes that have not been reported yet.
+  [[nodiscard]] bool HasUnreadBytes() const noexcept;
+
   /// \brief Closes the sending side after the queued bytes; the peer sees an end of file.
   void ShutDown();
 
@@ -87,6 +90,9 @@
   TcpListener(const TcpListener&) = delete;
   TcpListener& operator=(const TcpListener&) = delete;
 
+  /// \brief Whether a connection waits to be accepted. Destroying the listener resets it.
+  [[nodiscard]] bool HasPendingConnection() const noexcept;
+
   /// \brief Returns `ip:port`, with the bound port if port 0 was requested.
   [[nodiscard]] std::string Address() const;
 
--- a/tests/support/fake_store.cc
+++ b/tests/support/fake_store.cc
@@ -30,7 +30,8 @@
 FakeStore::FakeStore(net::EventLoop& loop, const StoreWire& wire)
     : m_loop(loop),
       m_wire(wire),
-      m_server(loop, [this](ScriptedServer::Connection& connection) { Handle(connection); }) {}
+      m_server(loop, [this](ScriptedServer::Connection& connection) { Handle(connection); }),
+      m_writer(loop) {}
 
 void FakeStore::Put(const std::string& key, const std::string& value) {
   const platform::KeyValueItem change{.key = key, .value = value, .revision = ++m_revision};
@@ -56,6 +57,7 @@
 }
 
 void FakeStore::Answer(ScriptedServer::Connection& connection, const std::string& text) {
+  m_last_answers[&connection] = text;
   if (m_delay.count() == 0) {
     connection.Write(text);
     return;
@@ -78,6 +80,16 @@
 void FakeStore::Handle(ScriptedServer::Connection& connection) {
   const StoreCall call = m_wire.ParseCall(connection.head.target);
   ++calls[call.path];
+  if (m_endless) {
+    connection.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    m_writer.Start(connection, "4\r\nmore\r\n");
+    return;
+  }
+  const auto last_answer = m_last_answers.find(&connection);
+  if (m_repeats && call.kind == StoreCall::Kind::kWatch && last_answer != m_last_answers.end()) {
+    m_repeats = false;
+    connection.Write(last_answer->second);
+  }
   if (m_fault != 0) {
     if (m_fault > 0) {
       Answer(connection, HttpText(m_fault, "", ""));
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -70,6 +70,18 @@
   /// calls unanswered.
   void SetFault(int status) { m_fault = status; }
 
+  /// \brief Answers all calls with bytes without end, or stops doing so.
+  void SetEndless(bool endless) { m_endless = endless; }
+
+  /// \brief Writes the last answer of the connection once more when it carries the next watch.
+  void RepeatNextAnswer() { m_repeats = true; }
+
+  /// \brief Number of connections that were opened.
+  [[nodiscard]] int Connections() const noexcept { return m_server.accepted; }
+
+  /// \brief Number of bytes of answers without end.
+  [[nodiscard]] std::size_t EndlessBytes() const noexcept { return m_writer.written; }
+
   /// \brief Delays each answer.
   void SetDelay(std::chrono::milliseconds delay) { m_delay = delay; }
 
@@ -96,6 +108,11 @@
   net::EventLoop& m_loop;
   const StoreWire& m_wire;
   ScriptedServer m_server;
+  EndlessWriter m_writer;
+  bool m_endless = false;
+  bool m_repeats = false;
+  /// The last answers by connection.
+  std::map<const ScriptedServer::Connection*, std::string> m_last_answers;
   std::map<std::string, platform::KeyValueItem> m_items;
   std::vector<platform::KeyValueItem> m_history;
   std::list<Watch> m_watches;
--- a/tests/support/forwarder_fixture.cc
+++ b/tests/support/forwarder_fixture.cc
@@ -216,6 +216,43 @@
   return condition();
 }
 
+SingleEndpoint::SingleEndpoint(forward::Route route, ScriptedServer::Handler handler)
+    : endpoint(AddEndpoint("e1", std::move(handler))) {
+  Configure(std::move(route));
+  Start();
+}
+
+TwoEndpoints::TwoEndpoints(forward::Route route, const ScriptedServer::Handler& first,
+                           const ScriptedServer::Handler& later) {
+  const auto handler = [this, first, later](ScriptedServer::Connection& connection) {
+    ++arrivals;
+    arrivals == 1 ? first(connection) : later(connection);
+  };
+  AddEndpoint("e1", handler);
+  AddEndpoint("e2", handler);
+  Configure(std::move(route));
+  Start();
+}
+
+void AnswerOk(ScriptedServer::Connection& connection) {
+  connection.Write(HttpText(200, SignedHeaders(connection), "answer"));
+}
+
+std::string StreamHead(const ScriptedServer::Connection& connection) {
+  return "HTTP/1.1 200 OK\r\n" + SignedHeaders(connection) +
+         "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string Chunk(std::string_view text) {
+  char size[32];
+  std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
+  return size + std::string(text) + "\r\n";
+}
+
+std::string Event(int id) {
+  return Chunk("id: " + std::to_string(id) + "\ndata: " + std::to_string(id) + "\n\n");
+}
+
 std::string SignedHeaders(const ScriptedServer::Connection& connection) {
   return "Signed: yes\r\nAttempt: " +
          std::string(http::FindHeader(connection.head.headers, "Attempt")) + "\r\n";
--- a/tests/support/forwarder_fixture.h
+++ b/tests/support/forwarder_fixture.h
@@ -135,6 +135,30 @@
   std::list<std::unique_ptr<Caller>> m_callers;
 };
 
+/// \brief A forwarder with one endpoint `e1` and one route.
+struct SingleEndpoint : ForwarderFixture {
+  SingleEndpoint(forward::Route route, ScriptedServer::Handler handler);
+
+  ScriptedServer& endpoint;
+};
+
+/// \brief A forwarder with two endpoints. `first` answers the first request, `later` all others,
+/// whichever endpoint they arrive at.
+struct TwoEndpoints : ForwarderFixture {
+  TwoEndpoints(forward::Route route, const ScriptedServer::Handler& first,
+               const ScriptedServer::Handler& later);
+
+  int arrivals = 0;
+};
+
+/// \brief Answers with a success whose body is `answer`.
+void AnswerOk(ScriptedServer::Connection& connection);
+
+/// \brief Returns the head of a response with events, and its parts.
+[[nodiscard]] std::string StreamHead(const ScriptedServer::Connection& connection);
+[[nodiscard]] std::string Chunk(std::string_view text);
+[[nodiscard]] std::string Event(int id);
+
 /// \brief Returns the headers of a successful response to the request on the connection.
 [[nodiscard]] std::string SignedHeaders(const ScriptedServer::Connection& connection);
 
--- a/tests/unit/forward_path_test.cc
+++ b/tests/unit/forward_path_test.cc
@@ -11,18 +11,19 @@
 using namespace std::chrono_literals;
 using namespace wagtailwind;  // NOLINT(google-build-using-namespace)
 using forward::RequestKind;
-using testing::ForwarderFixture;
+using testing::AnswerOk;
+using testing::Chunk;
+using testing::Event;
 using testing::HttpText;
 using testing::ScriptedServer;
 using testing::SignedHeaders;
+using testing::SingleEndpoint;
+using testing::StreamHead;
 using testing::TestRoute;
+using testing::TwoEndpoints;
 
 using Connection = ScriptedServer::Connection;
 
-void AnswerOk(Connection& connection) {
-  connection.Write(HttpText(200, SignedHeaders(connection), "answer"));
-}
-
 void Refuse(Connection& connection) {
   connection.Write(HttpText(503, SignedHeaders(connection) + "Refused: 1\r\n", ""));
 }
@@ -31,54 +32,10 @@
   connection.Write(HttpText(500, SignedHeaders(connection), "failed"));
 }
 
-std::string Chunk(std::string_view text) {
-  char size[32];
-  std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
-  return size + std::string(text) + "\r\n";
-}
-
-std::string Event(int id) {
-  return Chunk("id: " + std::to_string(id) + "\ndata: " + std::to_string(id) + "\n\n");
-}
-
-std::string StreamHead(const Connection& connection) {
-  return "HTTP/1.1 200 OK\r\n" + SignedHeaders(connection) +
-         "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-}
-
 std::string HeaderOf(const std::vector<http::Header>& headers, std::string_view name) {
   return std::string(http::FindHeader(headers, name));
 }
 
-/// A forwarder with one endpoint `e1` and one route.
-struct SingleEndpoint : ForwarderFixture {
-  SingleEndpoint(forward::Route route, ScriptedServer::Handler handler)
-      : endpoint(AddEndpoint("e1", std::move(handler))) {
-    Configure(std::move(route));
-    Start();
-  }
-
-  ScriptedServer& endpoint;
-};
-
-/// A forwarder with two endpoints. `first` answers the first request, `later` all others, whichever
-/// endpoint they arrive at.
-struct TwoEndpoints : ForwarderFixture {
-  TwoEndpoints(forward::Route route, const ScriptedServer::Handler& first,
-               const ScriptedServer::Handler& later) {
-    const auto handler = [this, first, later](Connection& connection) {
-      ++arrivals;
-      arrivals == 1 ? first(connection) : later(connection);
-    };
-    AddEndpoint("e1", handler);
-    AddEndpoint("e2", handler);
-    Configure(std::move(route));
-    Start();
-  }
-
-  int arrivals = 0;
-};
-
 }  // namespace
 
 // Guards against changing a request on the way, passing the API key on to the endpoint, and
--- /dev/null
+++ b/tests/unit/forward_pause_test.cc
@@ -0,0 +1,106 @@
+// A process that was paused or suspended between two steps of a request.
+
+#include <string>
+#include <thread>
+
+#include "support/forwarder_fixture.h"
+#include "support/raw_connection.h"
+
+// Included last because its macros break the headers of Abseil.
+#include <criterion/criterion.h>
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace wagtailwind;  // NOLINT(google-build-using-namespace)
+using forward::RequestKind;
+using testing::AnswerOk;
+using testing::RawConnection;
+using testing::ScriptedServer;
+using testing::SingleEndpoint;
+using testing::TestRoute;
+
+using Connection = ScriptedServer::Connection;
+
+constexpr const char* kRequest =
+    "POST /r/x HTTP/1.1\r\nHost: h.example\r\nAttempt: a1\r\nSecret: key-1\r\nParts: 1:10\r\n"
+    "Content-Length: 5\r\n\r\norder";
+
+/// A forwarder that has chosen an endpoint for a request and has not sent it yet.
+struct ChosenEndpoint : SingleEndpoint {
+  explicit ChosenEndpoint(ScriptedServer::Handler handler = AnswerOk)
+      : SingleEndpoint(PromptRoute(), std::move(handler)), caller(forwarder->CallerAddress()) {
+    caller.Write(kRequest);
+    const Counter& placed = metrics.GetCounter("forward_prompts_total{placed=\"home\"}");
+    const Counter& away = metrics.GetCounter("forward_prompts_total{placed=\"away\"}");
+    while (placed.value() + away.value() == 0) {
+      uv_run(loop.Get(), UV_RUN_ONCE);
+    }
+    cr_assert_eq(endpoint.requests, 0);
+  }
+
+  static forward::Route PromptRoute() {
+    auto route = TestRoute(RequestKind::kNonIdempotent);
+    route.has_prompt = true;
+    return route;
+  }
+
+  RawConnection caller;
+};
+
+}  // namespace
+
+// Guards against running a request with a key that was revoked while the machine was suspended
+// between the check of the key and the sending of the request.
+Test(forward_pause, sends_nothing_with_a_key_that_was_not_confirmed_since) {
+  for (const std::chrono::seconds pause : {5s, 10s, 30s}) {
+    ChosenEndpoint fleet;
+    fleet.clock.Suspend(pause);
+    std::string received;
+    std::thread reader([&] { received = fleet.caller.ReadUntil("\r\n\r\n"); });
+    fleet.loop.RunFor(500ms);
+    fleet.forwarder.reset();
+    fleet.loop.RunFor(10ms);
+    reader.join();
+    cr_assert_eq(fleet.endpoint.requests, 0);
+    cr_assert_neq(received.find(" 503 "), std::string::npos);
+  }
+}
+
+// Guards against refusing a request because of a pause that is shorter than the bound of
+// revocation.
+Test(forward_pause, sends_the_request_after_a_short_pause) {
+  ChosenEndpoint fleet;
+  fleet.clock.Suspend(1s);
+  cr_assert(fleet.RunUntil([&] { return fleet.endpoint.requests == 1; }));
+}
+
+// Guards against discarding an answer that had arrived when a paused process woke after its time
+// limit: expired timers must not run before the sockets are read.
+Test(forward_pause, delivers_an_answer_that_arrived_during_a_pause, .timeout = 30) {
+  Connection* waiting = nullptr;
+  auto route = TestRoute(RequestKind::kNonIdempotent);
+  route.timeout = 300ms;
+  SingleEndpoint fleet(route, [&waiting](Connection& connection) { waiting = &connection; });
+  const auto answer = fleet.Send("", "order", "POST");
+  cr_assert(fleet.RunUntil([&] { return waiting != nullptr; }));
+  AnswerOk(*waiting);
+  std::this_thread::sleep_for(500ms);
+  cr_assert(fleet.RunUntil([&] { return answer->complete; }));
+  cr_assert_eq(answer->status, 200);
+}
+
+// Guards against declaring endpoints silent and repeating their work, because the router itself was
+// paused.
+Test(forward_pause, takes_no_endpoint_for_silent_after_a_pause, .timeout = 30) {
+  Connection* waiting = nullptr;
+  testing::TwoEndpoints fleet(
+      TestRoute(RequestKind::kIdempotent, 2),
+      [&waiting](Connection& connection) { waiting = &connection; }, AnswerOk);
+  const auto answer = fleet.Send();
+  cr_assert(fleet.RunUntil([&] { return waiting != nullptr; }));
+  AnswerOk(*waiting);
+  std::this_thread::sleep_for(600ms);
+  cr_assert(fleet.RunUntil([&] { return answer->complete; }));
+  cr_assert_eq(fleet.arrivals, 1);
+}
--- a/tests/unit/forward_prefix_feed_test.cc
+++ b/tests/unit/forward_prefix_feed_test.cc
@@ -167,6 +167,50 @@
   cr_assert(fixture.listener.confirmed_at <= before);
 }
 
+// Guards against taking a late copy of an earlier answer for the answer to the watch in progress,
+// and against being one answer behind on that connection from then on.
+Test(prefix_feed, confirms_nothing_by_a_late_copy) {
+  Fixture fixture;
+  fixture.Start();
+  cr_assert(fixture.RunUntil([&] { return fixture.store.calls["/watch"] == 1; }));
+  fixture.store.RepeatNextAnswer();
+  cr_assert(fixture.RunUntil([&] { return fixture.listener.quiet_watches == 1; }));
+  const BootTime confirmed_at = fixture.listener.confirmed_at;
+  cr_assert(fixture.RunUntil([&] { return fixture.listener.quiet_watches == 2; }));
+  cr_assert(fixture.listener.confirmed_at <= confirmed_at);
+  cr_assert(fixture.RunUntil([&] { return fixture.listener.quiet_watches == 3; }));
+  cr_assert(fixture.listener.confirmed_at > confirmed_at);
+  cr_assert_eq(fixture.store.Connections(), 2);
+}
+
+// Guards against applying changes of an earlier watch as the answer to the watch in progress.
+Test(prefix_feed, leaves_a_connection_that_repeats_changes) {
+  Fixture fixture;
+  fixture.Start();
+  cr_assert(fixture.RunUntil([&] { return fixture.store.calls["/watch"] == 1; }));
+  fixture.store.RepeatNextAnswer();
+  fixture.store.Put("endpoint/a", "1");
+  cr_assert(fixture.RunUntil([&] { return fixture.listener.quiet_watches == 1; }));
+  cr_assert_eq(fixture.listener.keys.size(), 1);
+  cr_assert_eq(fixture.store.Connections(), 2);
+}
+
+// Guards against a process that runs out of memory because the service answers without end.
+Test(prefix_feed, gives_up_an_answer_without_end, .timeout = 60) {
+  // What the kernel buffers of a connection, and the largest answer; each call fails at that size.
+  constexpr std::size_t kMaxReadPerCall = 20U << 20U;
+  Fixture fixture;
+  fixture.store.Put("endpoint/a", "1");
+  fixture.Start();
+  cr_assert(fixture.RunUntil([&] { return fixture.store.calls["/watch"] == 1; }));
+  fixture.store.SetEndless(true);
+  cr_assert(fixture.RunUntil([&] { return fixture.listener.lost == 1; }));
+  const auto calls = fixture.store.calls["/watch"] + fixture.store.calls["/range"];
+  cr_assert_leq(fixture.store.EndlessBytes(), static_cast<std::size_t>(calls) * kMaxReadPerCall);
+  fixture.store.SetEndless(false);
+  cr_assert(fixture.RunUntil([&] { return fixture.listener.regained == 1; }));
+}
+
 // Guards against a confirmation that gets nearly two watches old after a watch that ended late with
 // a change, which would take the router out of service.
 Test(prefix_feed, ends_the_next_watch_when_the_one_with_a_change_would_have_ended) {
--- a/tests/unit/net_tcp_stream_test.cc
+++ b/tests/unit/net_tcp_stream_test.cc
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <string>
+#include <thread>
 
 #include "http/socket_address.h"
 #include "http1/client_connection.h"
@@ -118,3 +119,44 @@
   cr_assert(recorder.ended);
   cr_assert_eq(recorder.end, ConnectionEnd::kNotConnected);
 }
+
+// Guards against sending a request that became too late while its connection was established.
+Test(client_connection, does_not_write_a_request_that_was_withdrawn) {
+  struct Withdrawing final : wagtailwind::http1::ResponseObserver {
+    [[nodiscard]] bool UpdateRequest(std::string&) override { return false; }
+    [[nodiscard]] bool OnResponseHead(MessageHead) override { return true; }
+    void OnResponseBody(std::string_view) override {}
+    void OnResponseEnd(bool) override {}
+    void OnConnectionEnd(ConnectionEnd how, std::string_view) override { end = how; }
+    ConnectionEnd end = ConnectionEnd::kClosed;
+  };
+  wagtailwind::net::EventLoop loop;
+  ScriptedServer server(loop, [](ScriptedServer::Connection&) {});
+  Withdrawing observer;
+  ClientConnection connection(loop, server.Address(), 1s);
+  connection.Send(kRequest, false, observer);
+  loop.RunFor(50ms);
+  cr_assert(observer.end == ConnectionEnd::kNotConnected);
+  cr_assert_eq(server.requests, 0);
+}
+
+// Guards against a time-out that discards an answer because the process was held up: what has
+// arrived meanwhile is handled before the timers that have expired.
+Test(net_timer, fires_after_events_that_arrived_while_the_process_was_held_up) {
+  wagtailwind::net::EventLoop loop;
+  ScriptedServer::Connection* peer = nullptr;
+  ScriptedServer server(loop, [&peer](ScriptedServer::Connection& caller) { peer = &caller; });
+  Recorder recorder;
+  ClientConnection connection(loop, server.Address(), 1s);
+  connection.Send(kRequest, false, recorder);
+  while (peer == nullptr) {
+    loop.RunFor(1ms);
+  }
+  bool complete_before_timer = false;
+  wagtailwind::net::Timer timer(loop, [&] { complete_before_timer = recorder.complete; });
+  timer.Start(20ms);
+  peer->Write(wagtailwind::testing::HttpText(200, "", "answer"));
+  std::this_thread::sleep_for(200ms);
+  loop.RunFor(50ms);
+  cr_assert(complete_before_timer);
+}
