Play endpoints that send without end in the soak, and run nothing for a caller that has left

Cause: the soak had no endpoint that sends bytes without end. Request and end of the connection can be read together after a delay; a request was then sent on a kept connection before the end was seen (forward_pause::sends_nothing_for_a_caller_that_has_already_left failed first). A session looks for the end of its connection before it starts a request. The endless writer of the tests counted writes that failed on a connection which the peer had reset (seen under load: 268 MB in 0.2 s).

--- a/src/forward/caller_session.cc
+++ b/src/forward/caller_session.cc
@@ -188,6 +188,13 @@
 }
 
 void CallerSession::StartTask() {
+  // After a delay, the caller may have given up already, and the end of its connection is known
+  // only after the request has been read.
+  if (m_pending.empty() && m_stream.HasEnded()) {
+    m_host.OnUnreadRequest(0, "caller has left");
+    End();
+    return;
+  }
   m_phase = Phase::kHandling;
   m_has_had_request = true;
   m_counted_progress = 0;
--- a/src/net/tcp_stream.cc
+++ b/src/net/tcp_stream.cc
@@ -216,6 +216,16 @@
   return uv_stream_get_write_queue_size(m_handle->Stream());
 }
 
+bool TcpStream::HasEnded() const noexcept {
+  uv_os_fd_t descriptor = -1;
+  char byte = 0;
+  if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&m_handle->tcp), &descriptor) < 0) {
+    return true;
+  }
+  const ssize_t received = recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 bool TcpStream::HasUnreadBytes() const noexcept { return IsReadable(m_handle->tcp); }
 
 void TcpStream::ShutDown() {
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -64,6 +64,10 @@
   /// \brief Whether the kernel holds received bytes that have not been reported yet.
   [[nodiscard]] bool HasUnreadBytes() const noexcept;
 
+  /// \brief Whether the peer has closed its sending side, or the connection has failed, and no
+  /// bytes precede that.
+  [[nodiscard]] bool HasEnded() const noexcept;
+
   /// \brief Closes the sending side after the queued bytes; the peer sees an end of file.
   void ShutDown();
 
--- a/tests/soak/ledger.cc
+++ b/tests/soak/ledger.cc
@@ -22,6 +22,9 @@
 // An endpoint detects a closed connection only when it sends its next event.
 constexpr std::chrono::milliseconds kCancellationDelay = 1'500ms;
 
+// Memory of the smallest instance.
+constexpr double kMaxMegabytes = 112;
+
 constexpr int kOk = 200;
 
 // Minimum share of the requests after the last fault that must succeed. A few fail because a router
@@ -314,6 +317,14 @@
   return found;
 }
 
+void Ledger::OnMemory(const Scope& router, double bytes) {
+  constexpr double kBytesPerMegabyte = 1e6;
+  if (bytes > kMaxMegabytes * kBytesPerMegabyte) {
+    m_reported.push_back("memory: " + router + " holds " +
+                         std::to_string(bytes / kBytesPerMegabyte) + " MB");
+  }
+}
+
 std::size_t Ledger::RunCount() const noexcept {
   std::size_t count = 0;
   for (const auto& [attempt, entry] : m_requests) {
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -92,6 +92,9 @@
     m_reported.push_back("own_end: " + program + " exited with status " + std::to_string(status));
   }
 
+  /// \brief Records the memory of a router; more than the smallest instance has is a violation.
+  void OnMemory(const Scope& router, double bytes);
+
   /// \brief Records when the last fault ended.
   void OnLastFaultEnd(SteadyTime at) { m_last_fault_end = at; }
 
--- a/tests/soak/soak_ctest.sh
+++ b/tests/soak/soak_ctest.sh
@@ -17,12 +17,21 @@
 "$soak" --seed 1 --seconds 20 --mutant forwarder_stops_at_once >"$folder/mutant" &
 mutant=$!
 
+# An endpoint sends an event without end.
+"$soak" --seed 1 --seconds 10 --mutant forwarder_keeps_endless_events >"$folder/mutant-endless" &
+endless_mutant=$!
+
 for seed in "${!runs[@]}"; do
   wait "${runs[$seed]}" || { echo "seed $seed failed"; status=1; }
 done
 wait "$mutant"
 mutant_status=$?
-cat "$folder"/seed-* "$folder/mutant"
+wait "$endless_mutant"
+if [ $? -ne 1 ] || ! grep -q '"memory: ' "$folder/mutant-endless"; then
+  echo "the soak did not detect the mutant that keeps endless events"
+  status=1
+fi
+cat "$folder"/seed-* "$folder"/mutant*
 if [ "$mutant_status" -ne 1 ] || ! grep -q '"cut: ' "$folder/mutant"; then
   echo "the soak did not detect the mutant"
   status=1
--- a/tests/soak/soak_endpoint_main.cc
+++ b/tests/soak/soak_endpoint_main.cc
@@ -43,7 +43,8 @@
       : m_loop(loop),
         m_name(std::move(name)),
         m_log(open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644)),
-        m_server(loop, [this](Connection& connection) { Handle(connection); }) {}
+        m_server(loop, [this](Connection& connection) { Handle(connection); }),
+        m_endless_writer(loop) {}
   ~Endpoint() { close(m_log); }
   Endpoint(const Endpoint&) = delete;
   Endpoint& operator=(const Endpoint&) = delete;
@@ -57,6 +58,8 @@
     std::string attempt;
     bool stream = false;
     bool head_sent = false;
+    /// The answer has been given up for bytes without end.
+    bool endless = false;
     std::size_t next = 1;
     std::size_t size = 0;
     std::chrono::milliseconds pause{0};
@@ -124,6 +127,10 @@
       End(run, "cancel");
       return;
     }
+    if (run.endless || m_mode == "endless") {
+      StepEndless(run);
+      return;
+    }
     if (m_mode == "hang") {
       run.timer->Start(run.pause);
       return;
@@ -156,10 +163,7 @@
   }
 
   void StepStream(Run& run) {
-    if (!std::exchange(run.head_sent, true)) {
-      run.connection->Write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
-                            SignatureHeaders(run.attempt) + "Transfer-Encoding: chunked\r\n\r\n");
-    }
+    WriteStreamHead(run);
     if (run.next > run.size) {
       run.connection->Write("0\r\n\r\n");
       End(run, "end");
@@ -180,6 +184,32 @@
     run.timer->Start(run.pause);
   }
 
+  /// Sends bytes that are no answer until the caller closes the connection.
+  void StepEndless(Run& run) {
+    run.timer->Start(run.pause);
+    if (std::exchange(run.endless, true)) {
+      return;
+    }
+    if (run.stream) {
+      WriteStreamHead(run);
+      m_endless_writer.Start(*run.connection, testing::Chunk("data: more\n"));
+    } else if (++m_endless_calls % 2 == 0) {
+      run.connection->Write("HTTP/1.1 500 Error\r\n" + SignatureHeaders(run.attempt) +
+                            "Transfer-Encoding: chunked\r\n\r\n");
+      m_endless_writer.Start(*run.connection, testing::Chunk("failed"));
+    } else {
+      run.connection->Write("HTTP/1.1 200 OK\r\n" + SignatureHeaders(run.attempt));
+      m_endless_writer.Start(*run.connection, "Field: value\r\n");
+    }
+  }
+
+  void WriteStreamHead(Run& run) {
+    if (!std::exchange(run.head_sent, true)) {
+      run.connection->Write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
+                            SignatureHeaders(run.attempt) + "Transfer-Encoding: chunked\r\n\r\n");
+    }
+  }
+
   void End(Run& run, std::string_view how) {
     Record(how, run.attempt);
     m_runs.remove_if([&run](const Run& entry) { return &entry == &run; });
@@ -190,10 +220,12 @@
   const forward::WireNames& m_names = m_adapter->Names();
   const std::string m_name;
   const int m_log;
-  /// Active fault: `fail`, `lose`, `truncate`, `refuse`, `hang`, or empty.
+  /// Active fault: `fail`, `lose`, `truncate`, `refuse`, `hang`, `endless`, or empty.
   std::string m_mode;
   std::list<Run> m_runs;
   ScriptedServer m_server;
+  testing::EndlessWriter m_endless_writer;
+  int m_endless_calls = 0;
 };
 
 }  // namespace
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <sstream>
 
+#include "support/process_usage.h"
 #include "support/raw_connection.h"
 
 namespace wagtailwind::soak {
@@ -272,6 +273,10 @@
        {.name = "endpoint_drain", .weight = 2, .shortest = kMinDrain, .longest = kMaxDrain}});
 }
 
+std::vector<FaultKind> SoakFleet::EndlessFaultKinds() const {
+  return WithTargets({{.name = "endpoint_endless", .shortest = 500ms, .longest = 3'000ms}});
+}
+
 std::vector<FaultKind> SoakFleet::FaultKinds() const {
   std::vector<FaultKind> kinds = {
       {.name = "router_kill", .shortest = 300ms, .longest = 2'000ms},
@@ -460,6 +465,8 @@
 void SoakFleet::Tick() {
   ReadEndpointLog();
   for (std::size_t i = 0; i < m_routers.size(); ++i) {
+    m_ledger.OnMemory(Ledger::RouterScope(i),
+                      testing::ReadProcessUsage(m_routers[i].process->Id()).resident_bytes);
     if (!m_routers[i].terminating && m_routers[i].process->HasEnded()) {
       m_ledger.OnUnexpectedExit(Ledger::RouterScope(i), m_routers[i].process->Wait());
       StartRouter(i);
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -50,6 +50,10 @@
   [[nodiscard]] std::vector<histories::FaultKind> FaultKinds() const;
   [[nodiscard]] std::vector<histories::FaultKind> PlannedFaultKinds() const;
 
+  /// \brief Returns the fault kinds in which endpoints send bytes without end. They have a plan of
+  /// their own, so that the other faults of a seed stay the same.
+  [[nodiscard]] std::vector<histories::FaultKind> EndlessFaultKinds() const;
+
   void Begin(const histories::Fault& fault) { Apply(fault, true); }
   void End(const histories::Fault& fault) { Apply(fault, false); }
 
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -45,6 +45,10 @@
                                        std::chrono::seconds length) {
   std::vector<histories::Fault> plan =
       histories::MakeFaultPlan(fleet.FaultKinds(), seed, length / 2);
+  for (const histories::Fault& fault :
+       histories::MakeFaultPlan(fleet.EndlessFaultKinds(), seed + 2, length / 2)) {
+    plan.push_back(fault);
+  }
   std::chrono::milliseconds faults_end{0};
   for (const histories::Fault& fault : plan) {
     faults_end = std::max(faults_end, fault.begin + fault.duration);
--- a/tests/support/forwarder_fixture.cc
+++ b/tests/support/forwarder_fixture.cc
@@ -243,12 +243,6 @@
          "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 }
 
-std::string Chunk(std::string_view text) {
-  char size[32];
-  std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
-  return size + std::string(text) + "\r\n";
-}
-
 std::string Event(int id) {
   return Chunk("id: " + std::to_string(id) + "\ndata: " + std::to_string(id) + "\n\n");
 }
--- a/tests/support/forwarder_fixture.h
+++ b/tests/support/forwarder_fixture.h
@@ -156,7 +156,6 @@
 
 /// \brief Returns the head of a response with events, and its parts.
 [[nodiscard]] std::string StreamHead(const ScriptedServer::Connection& connection);
-[[nodiscard]] std::string Chunk(std::string_view text);
 [[nodiscard]] std::string Event(int id);
 
 /// \brief Returns the headers of a successful response to the request on the connection.
--- a/tests/support/scripted_server.cc
+++ b/tests/support/scripted_server.cc
@@ -11,6 +11,7 @@
 namespace {
 constexpr std::size_t kMaxHeadBytes = 64U << 10U;
 constexpr std::size_t kPartBytes = 16U << 10U;
+constexpr int kMaxPartsPerTick = 32;
 // Ends a test whose peer reads everything before it exhausts the machine's memory.
 constexpr std::size_t kMaxWritten = std::size_t{256} << 20U;
 }  // namespace
@@ -66,10 +67,14 @@
 
 EndlessWriter::EndlessWriter(net::EventLoop& loop)
     : m_timer(loop, [this] {
-        for (const Entry& entry : m_entries) {
-          while (!entry.connection->closed() && entry.connection->QueuedBytes() == 0 &&
-                 written < kMaxWritten) {
+        for (Entry& entry : m_entries) {
+          // A write to a connection that the peer has reset fails without being queued, and the
+          // connection counts as closed only after the next event.
+          for (int part = 0; part < kMaxPartsPerTick && !entry.connection->closed() &&
+                             entry.connection->QueuedBytes() == 0 && entry.written < kMaxWritten;
+               ++part) {
             entry.connection->Write(entry.text);
+            entry.written += entry.text.size();
             written += entry.text.size();
           }
         }
@@ -92,6 +97,12 @@
                     [](const Entry& entry) { return !entry.connection->closed(); }));
 }
 
+std::string Chunk(std::string_view text) {
+  char size[32];
+  std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
+  return size + std::string(text) + "\r\n";
+}
+
 std::string HttpText(int status, std::string_view headers, std::string_view body) {
   std::string text = "HTTP/1.1 " + std::to_string(status) + " Status\r\n";
   text.append(headers);
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -95,12 +95,16 @@
   struct Entry {
     ScriptedServer::Connection* connection;
     std::string text;
+    std::size_t written = 0;
   };
 
   std::list<Entry> m_entries;
   net::Timer m_timer;
 };
 
+/// \brief Returns a chunk of a body with chunked encoding.
+[[nodiscard]] std::string Chunk(std::string_view text);
+
 /// \brief Returns the text of an HTTP response with a Content-Length header.
 [[nodiscard]] std::string HttpText(int status, std::string_view headers, std::string_view body);
 
--- a/tests/unit/forward_pause_test.cc
+++ b/tests/unit/forward_pause_test.cc
@@ -104,3 +104,20 @@
   cr_assert(fleet.RunUntil([&] { return answer->complete; }));
   cr_assert_eq(fleet.arrivals, 1);
 }
+
+// Guards against running a request whose caller gave up while the router was held up: its request
+// and the end of its connection are read together.
+Test(forward_pause, sends_nothing_for_a_caller_that_has_already_left) {
+  SingleEndpoint fleet(TestRoute(RequestKind::kIdempotent), [](Connection& connection) {
+    connection.Write(testing::HttpText(
+        200, testing::SignedHeaders(connection) + "Keep-Alive: timeout=5\r\n", "answer"));
+  });
+  // The next request could be sent at once, on the connection that this one leaves open.
+  cr_assert_eq(fleet.Call()->status, 200);
+  {
+    const RawConnection caller(fleet.forwarder->CallerAddress());
+    caller.Write(kRequest);
+  }
+  fleet.loop.RunFor(100ms);
+  cr_assert_eq(fleet.endpoint.requests, 1);
+}
