Follow configuration and endpoints with one watch

Cause: calls to the key-value service are the largest price on the grown and large sites. Each router held two watches, and each change of an endpoint ended one of them. Change: one watch over the common prefix of both keys. A pause follows changes of endpoints only, and the next watch is shorter by it, so that a confirmation gets no older than before. Tests: record_dispatcher, prefix_feed::pauses_after_changes_of_endpoints_only.

--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -34,24 +34,28 @@
 constexpr std::uint64_t kBodyMemoryDivisor = 4;
 constexpr std::uint64_t kAnswerMemoryDivisor = 4;
 
-// Pause of an endpoint watch after changes, as a fraction of the drain bound, after which a
+// Pause of the watch after changes of endpoints, as a fraction of the drain bound, after which a
 // draining endpoint must get no more requests. Because of the pause, one call returns several
 // changes of a busy pool. The rest of the bound allows for a slow response and a lost connection.
 constexpr double kEndpointPauseFraction = 0.3;
 
-// Wait of a configuration watch, as a fraction of the key revocation bound. A key is accepted for
+// Wait of a watch, as a fraction of the key revocation bound. A key is accepted for
 // up to the bound after the last confirmation, which is one watch old if contact is lost just
 // before a watch ends. The platform expects keys to be served for 0.6 of the bound without contact;
 // the rest allows for round trips and the time for a request to reach its endpoint.
-constexpr double kConfigurationWatchFraction = 0.34;
-
-// A watch of the endpoints confirms nothing and costs as much as any other call, so it is long.
-constexpr std::chrono::milliseconds kEndpointWatchTime = 5'000ms;
+constexpr double kWatchFraction = 0.34;
 
 std::chrono::milliseconds FractionOf(std::chrono::milliseconds time, double fraction) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(time * fraction);
 }
 
+/// Returns the prefix under which one watch covers both keys: each call of the key-value service
+/// has its price, and the routers of a large fleet make most of them.
+std::string CommonPrefix(std::string_view left, std::string_view right) {
+  const auto end = std::mismatch(left.begin(), left.end(), right.begin(), right.end()).first;
+  return {left.begin(), end};
+}
+
 }  // namespace
 
 /// \brief Serves readiness checks, metrics and state.
@@ -200,6 +204,7 @@
       m_on_stopped(std::move(on_stopped)),
       m_configuration_follower(m_context, adapter),
       m_endpoint_follower(m_context, adapter),
+      m_dispatcher(adapter.EndpointPrefix(), m_configuration_follower, m_endpoint_follower),
       m_callers(std::make_unique<CallerHost>(*this)),
       m_admin(std::make_unique<AdminHost>(*this)),
       m_tick(loop, [this] { Tick(); }),
@@ -215,23 +220,16 @@
   m_caller_listener = std::make_unique<net::TcpListener>(
       loop, settings.listen_callers,
       [this](uv_stream_t* listener) { m_callers->m_sessions.Accept(*m_callers, listener); });
-  m_configuration_feed = std::make_unique<PrefixFeed>(
-      loop, clock, random, adapter.Codec(), metrics,
-      FeedSettings{
-          .name = "configuration",
-          .address = settings.key_value,
-          .prefix = std::string(adapter.ConfigurationKey()),
-          .watch_time = FractionOf(settings.bounds.key_revocation, kConfigurationWatchFraction)},
-      m_configuration_follower);
-  m_endpoint_feed = std::make_unique<PrefixFeed>(
+  m_feed = std::make_unique<PrefixFeed>(
       loop, clock, random, adapter.Codec(), metrics,
       FeedSettings{
-          .name = "endpoints",
+          .name = "records",
           .address = settings.key_value,
-          .prefix = std::string(adapter.EndpointPrefix()),
-          .watch_time = kEndpointWatchTime,
-          .pause_after_change = FractionOf(settings.bounds.endpoint_drain, kEndpointPauseFraction)},
-      m_endpoint_follower);
+          .prefix = CommonPrefix(adapter.ConfigurationKey(), adapter.EndpointPrefix()),
+          .watch_time = FractionOf(settings.bounds.key_revocation, kWatchFraction),
+          .pause_after_change = FractionOf(settings.bounds.endpoint_drain, kEndpointPauseFraction),
+          .paused_prefix = std::string(adapter.EndpointPrefix())},
+      m_dispatcher);
   m_tick.StartPeriodic(kTickInterval);
 }
 
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -15,6 +15,7 @@
 #include "forward/endpoint_follower.h"
 #include "forward/forward_context.h"
 #include "forward/prefix_feed.h"
+#include "forward/record_dispatcher.h"
 #include "net/event_loop.h"
 #include "net/tcp_stream.h"
 #include "settings/forwarder_settings.h"
@@ -66,13 +67,13 @@
   std::function<void()> m_on_stopped;
   ConfigurationFollower m_configuration_follower;
   EndpointFollower m_endpoint_follower;
+  RecordDispatcher m_dispatcher;
   std::unique_ptr<CallerHost> m_callers;
   std::unique_ptr<AdminHost> m_admin;
   std::unique_ptr<net::TcpListener> m_caller_listener;
   std::unique_ptr<net::TcpListener> m_admin_listener;
   std::unique_ptr<net::TcpListener> m_metrics_listener;
-  std::unique_ptr<PrefixFeed> m_configuration_feed;
-  std::unique_ptr<PrefixFeed> m_endpoint_feed;
+  std::unique_ptr<PrefixFeed> m_feed;
   net::Timer m_tick;
   net::Timer m_stop_timer;
   bool m_was_ready = false;
--- a/src/forward/prefix_feed.cc
+++ b/src/forward/prefix_feed.cc
@@ -228,10 +228,12 @@
   OnCallSucceeded();
   const BootTime valid_as_of = ValidAsOf(page);
   m_next_wait = m_settings.watch_time;
-  if (!page.changes.empty() && m_settings.pause_after_change == 0ms) {
+  const std::chrono::milliseconds pause = PauseAfter(page);
+  if (!page.changes.empty()) {
     // The next watch ends when this one would have ended, so that the confirmation gets no older.
-    m_next_wait -= std::min(m_wait, std::chrono::duration_cast<std::chrono::milliseconds>(
-                                        m_clock.Now() - m_call_started_at));
+    m_next_wait -=
+        std::min(m_next_wait, pause + std::chrono::duration_cast<std::chrono::milliseconds>(
+                                          m_clock.Now() - m_call_started_at));
   }
   // A watch may miss changes just before the service drops its history. Continuing from the end of
   // the previous watch reports them again, or reports that the history is gone.
@@ -245,7 +247,15 @@
     m_connection.reset();
   }
   m_listener.OnChanges(page.changes, valid_as_of);
-  ScheduleCall(page.changes.empty() ? 0ms : m_settings.pause_after_change);
+  ScheduleCall(pause);
+}
+
+std::chrono::milliseconds PrefixFeed::PauseAfter(const platform::WatchPage& page) const {
+  const bool may_pause = std::all_of(page.changes.begin(), page.changes.end(),
+                                     [this](const platform::KeyValueItem& change) {
+                                       return change.key.starts_with(m_settings.paused_prefix);
+                                     });
+  return may_pause && !page.changes.empty() ? m_settings.pause_after_change : 0ms;
 }
 
 bool PrefixFeed::IsLateCopy(const platform::WatchPage& page) const noexcept {
--- a/src/forward/prefix_feed.h
+++ b/src/forward/prefix_feed.h
@@ -50,7 +50,10 @@
   /// plus two round trips old.
   std::chrono::milliseconds watch_time{1'400};
   /// Pause after a watch that returned changes, so that one call returns several frequent writes.
+  /// No pause follows a change of a key that does not begin with `paused_prefix`. The next watch is
+  /// shorter by the pause, so that confirmations get no older.
   std::chrono::milliseconds pause_after_change{0};
+  std::string paused_prefix{};
 };
 
 /// \brief Follows the keys with a prefix in the key-value service: a full read, then watches.
@@ -82,6 +85,7 @@
   /// Whether a watch response repeats changes that were known before the call, so that it is a late
   /// copy of an earlier response.
   [[nodiscard]] bool IsLateCopy(const platform::WatchPage& page) const noexcept;
+  [[nodiscard]] std::chrono::milliseconds PauseAfter(const platform::WatchPage& page) const;
   /// Returns the time up to which a watch response proves the absence of further changes.
   [[nodiscard]] BootTime ValidAsOf(const platform::WatchPage& page) const noexcept;
   void OnTimer();
--- /dev/null
+++ b/src/forward/record_dispatcher.cc
@@ -0,0 +1,42 @@
+#include "forward/record_dispatcher.h"
+
+namespace wagtailwind::forward {
+
+RecordDispatcher::Parts RecordDispatcher::Divide(
+    const std::vector<platform::KeyValueItem>& items) const {
+  Parts parts;
+  for (const platform::KeyValueItem& item : items) {
+    const bool is_endpoint = item.key.starts_with(m_endpoint_prefix);
+    (is_endpoint ? parts.endpoints : parts.configuration).push_back(item);
+  }
+  return parts;
+}
+
+void RecordDispatcher::OnSnapshot(const std::vector<platform::KeyValueItem>& items,
+                                  BootTime valid_as_of) {
+  const Parts parts = Divide(items);
+  m_endpoints.OnSnapshot(parts.endpoints, valid_as_of);
+  m_configuration.OnSnapshot(parts.configuration, valid_as_of);
+}
+
+void RecordDispatcher::OnChanges(const std::vector<platform::KeyValueItem>& changes,
+                                 BootTime valid_as_of) {
+  const Parts parts = Divide(changes);
+  if (!parts.endpoints.empty()) {
+    m_endpoints.OnChanges(parts.endpoints, valid_as_of);
+  }
+  // Also without changes: the watch confirms that the configuration is the newest.
+  m_configuration.OnChanges(parts.configuration, valid_as_of);
+}
+
+void RecordDispatcher::OnFeedLost() {
+  m_configuration.OnFeedLost();
+  m_endpoints.OnFeedLost();
+}
+
+void RecordDispatcher::OnFeedRegained(SteadyTime last_failed) {
+  m_configuration.OnFeedRegained(last_failed);
+  m_endpoints.OnFeedRegained(last_failed);
+}
+
+}  // namespace wagtailwind::forward
--- a/tests/unit/forward_prefix_feed_test.cc
+++ b/tests/unit/forward_prefix_feed_test.cc
@@ -167,6 +167,35 @@
   cr_assert(fixture.listener.confirmed_at <= before);
 }
 
+// Load: endpoints of a large fleet join and leave several times a second. Guards against one call
+// of the service for each of their changes, against a configuration that waits for the pause, and
+// against confirmations that get older by it.
+Test(prefix_feed, pauses_after_changes_of_endpoints_only) {
+  Fixture fixture;
+  fixture.feed = std::make_unique<forward::PrefixFeed>(
+      fixture.loop, fixture.clock, fixture.random, fixture.deployment, fixture.metrics,
+      forward::FeedSettings{.name = "test",
+                            .address = fixture.store.Address(),
+                            .prefix = "",
+                            .pause_after_change = 500ms,
+                            .paused_prefix = "endpoint/"},
+      fixture.listener);
+  cr_assert(fixture.RunUntil([&] { return fixture.store.calls["/watch"] == 1; }));
+  for (int i = 0; i < 20; ++i) {
+    fixture.store.Put("endpoint/" + std::to_string(i), "1");
+    fixture.loop.RunFor(50ms);
+  }
+  cr_assert_leq(fixture.store.calls["/watch"], 4);
+  cr_assert(fixture.RunUntil([&] { return fixture.listener.keys.size() == 20; }));
+  cr_assert(fixture.RunUntil([&] { return fixture.store.calls["/watch"] == 4; }));
+  cr_assert_leq(fixture.store.last_wait, forward::FeedSettings{}.watch_time - 500ms);
+  fixture.store.Put("configuration", "1");
+  cr_assert(fixture.RunUntil([&] { return fixture.listener.keys.size() == 21; }));
+  fixture.store.Put("configuration", "2");
+  fixture.loop.RunFor(100ms);
+  cr_assert_eq(fixture.listener.keys.size(), 22);
+}
+
 // Guards against taking a late copy of an earlier answer for the answer to the watch in progress,
 // and against being one answer behind on that connection from then on.
 Test(prefix_feed, confirms_nothing_by_a_late_copy) {
--- /dev/null
+++ b/tests/unit/forward_record_dispatcher_test.cc
@@ -0,0 +1,52 @@
+#include <string>
+#include <vector>
+
+#include "forward/record_dispatcher.h"
+
+// Included last because its macros break the headers of Abseil.
+#include <criterion/criterion.h>
+
+namespace {
+
+using namespace wagtailwind;  // NOLINT(google-build-using-namespace)
+using Items = std::vector<platform::KeyValueItem>;
+
+struct Recorder final : forward::FeedListener {
+  void OnSnapshot(const Items& items, BootTime) override { Add("snapshot", items); }
+  void OnChanges(const Items& items, BootTime) override { Add("changes", items); }
+  void OnFeedLost() override { events.emplace_back("lost"); }
+  void OnFeedRegained(SteadyTime) override { events.emplace_back("regained"); }
+
+  void Add(std::string event, const Items& items) {
+    for (const platform::KeyValueItem& item : items) {
+      event += " " + item.key;
+    }
+    events.push_back(std::move(event));
+  }
+
+  std::vector<std::string> events;
+};
+
+platform::KeyValueItem Item(const std::string& key) { return {.key = key, .value = {}}; }
+
+using Events = std::vector<std::string>;
+
+}  // namespace
+
+// Guards against an endpoint that is taken for the configuration or the reverse, and against a list
+// of endpoints that is emptied by a read which contains only the configuration.
+Test(record_dispatcher, gives_each_follower_its_records) {
+  Recorder configuration;
+  Recorder endpoints;
+  forward::RecordDispatcher dispatcher("endpoint/", configuration, endpoints);
+  dispatcher.OnSnapshot({Item("configuration"), Item("endpoint/a"), Item("other")}, {});
+  dispatcher.OnChanges({Item("endpoint/b")}, {});
+  dispatcher.OnChanges({Item("configuration")}, {});
+  dispatcher.OnFeedLost();
+  dispatcher.OnFeedRegained({});
+  // A watch without a change of the configuration confirms it as well.
+  cr_assert(configuration.events == Events({"snapshot configuration other", "changes",
+                                            "changes configuration", "lost", "regained"}));
+  cr_assert(endpoints.events ==
+            Events({"snapshot endpoint/a", "changes endpoint/b", "lost", "regained"}));
+}
