Await answers of the key-value service that arrive slowly, and keep the pages that have been read

Each router reads 1.3 MB in seven pages, together 400 MB over the store's link of 1,000 Mbit/s, so that a page takes longer than the 700 ms after which a call was given up; a failed call also dropped all pages that had been read. A refusal (429, 503) was answered with the same call at once, on a new connection. Change: a call is given up after 700 ms without progress of 4 KiB. Pages stay for 15 s. Refused calls are made again after a random pause, on the same connection. Ruled out: keeping the pages alone (30 s as before, with pages dropped after 5 s). Tests: prefix_feed::waits_for_an_answer_that_arrives_slowly, goes_on_with_the_page_that_was_refused, reports_what_changed_during_a_long_read, gives_up_an_answer_that_trickles.

--- a/src/forward/prefix_feed.cc
+++ b/src/forward/prefix_feed.cc
@@ -34,12 +34,22 @@
 // its timers tells a watch that was quiet from one that was cut short.
 constexpr std::chrono::milliseconds kMinWait = 5ms;
 
+// An answer that arrives slowly gets the time for an answer again after this many bytes: when all
+// routers of a fleet read a long list, each answer takes long. Single bytes are no progress.
+constexpr std::size_t kProgressBytes = 4U << 10U;
+
+// A read of many pages starts again after this time, so that its first watch does not need history
+// that the service may have dropped.
+constexpr std::chrono::milliseconds kMaxReadTime = 15'000ms;
+
 // Several versions of a configuration of the largest size. Two feeds that hold this much, and the
 // records decoded from it, fit into the smallest instance.
 constexpr std::size_t kMaxAnswerBytes = 8U << 20U;
 
 constexpr int kOk = 200;
 constexpr int kGone = 410;
+constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
 
 }  // namespace
 
@@ -84,6 +94,7 @@
   m_call_in_progress = true;
   m_status = 0;
   m_body.clear();
+  m_counted_progress = 0;
   m_is_too_large = false;
   m_call_started_at = m_clock.Now();
   m_wait = 0ms;
@@ -111,6 +122,10 @@
     return;
   }
   m_body.append(part);
+  if (m_body.size() - m_counted_progress >= kProgressBytes) {
+    m_counted_progress = m_body.size();
+    m_timer.Start(kAnswerTimeout);
+  }
   if (m_body.size() > kMaxAnswerBytes) {
     m_is_too_large = true;
     std::string().swap(m_body);
@@ -134,7 +149,8 @@
     return;
   }
   if (m_status != kOk) {
-    OnCallFailed("status " + std::to_string(m_status));
+    OnCallFailed("status " + std::to_string(m_status),
+                 m_status == kTooManyRequests || m_status == kUnavailable);
     return;
   }
   try {
@@ -170,20 +186,26 @@
   }
 }
 
-void PrefixFeed::OnCallFailed(std::string_view reason) {
-  CountCall("failed");
+void PrefixFeed::OnCallFailed(std::string_view reason, bool is_refusal) {
+  CountCall(is_refusal ? "refused" : "failed");
   m_call_in_progress = false;
-  m_connection.reset();
   m_next_wait = 0ms;
-  // Pages from before and after an interruption may be far apart in time.
-  m_items.clear();
+  if (!is_refusal) {
+    m_connection.reset();
+  }
+  // Pages that have been read stay, because all routers of a fleet read at the same time after a
+  // power failure, and reading them again would multiply the calls that the service has refused.
+  // The first watch reports what has changed since the first page, if the service still knows it.
+  if (m_clock.BootNow() - m_snapshot_sent_at > kMaxReadTime) {
+    m_items.clear();
+  }
   m_last_failed_at = m_call_started_at;
   ++m_failures;
-  if (m_failures == 1) {
+  if (m_failures == 1 && !is_refusal) {
     ScheduleCall(0ms);
     return;
   }
-  if (!m_is_lost) {
+  if (m_failures > 1 && !m_is_lost) {
     m_is_lost = true;
     Log(kKeyValueLost, {{"feed", m_settings.name}, {"reason", reason}});
     m_metrics.GetCounter("forward_key_value_lost_total{feed=\"" + m_settings.name + "\"}").Add();
@@ -193,8 +215,8 @@
     return;
   }
   constexpr int kMaxDoublings = 8;
-  const auto ceiling =
-      std::min(kMaxBackoff, kFirstBackoff * (1 << std::min(m_failures - 2, kMaxDoublings)));
+  const int doublings = std::clamp(m_failures - 2, 0, kMaxDoublings);
+  const auto ceiling = std::min(kMaxBackoff, kFirstBackoff * (1 << doublings));
   ScheduleCall(ceiling / 2 + std::chrono::milliseconds(m_random.NextBelow(
                                  static_cast<std::uint64_t>(ceiling.count()) / 2 + 1)));
 }
--- a/src/forward/prefix_feed.h
+++ b/src/forward/prefix_feed.h
@@ -79,7 +79,8 @@
   void ScheduleCall(std::chrono::milliseconds delay);
   void CountCall(std::string_view result);
   void OnCallSucceeded();
-  void OnCallFailed(std::string_view reason);
+  /// `is_refusal`: the service has answered that it did not perform the call.
+  void OnCallFailed(std::string_view reason, bool is_refusal = false);
   void FinishRange();
   void FinishWatch();
   /// Whether a watch response repeats changes that were known before the call, so that it is a late
@@ -111,6 +112,8 @@
   Phase m_phase = Phase::kRange;
   int m_status = 0;
   std::string m_body;
+  /// Size of the body at the last restart of the timer.
+  std::size_t m_counted_progress = 0;
   /// The response exceeds the limit; the rest of it is not read.
   bool m_is_too_large = false;
   BootTime m_sent_at{};
--- a/tests/soak/deployment_wire.cc
+++ b/tests/soak/deployment_wire.cc
@@ -66,7 +66,7 @@
 
 std::string DeploymentStoreWire::EncodePage(StoreCall::Kind kind,
                                             const std::vector<platform::KeyValueItem>& items,
-                                            platform::Revision revision) const {
+                                            platform::Revision revision, bool has_more) const {
   json list = json::array();
   for (const platform::KeyValueItem& item : items) {
     json object = {{"Key", item.key}, {"Rev", item.revision}};
@@ -80,7 +80,7 @@
   json document = {{"StoreRevision", revision}};
   if (kind == StoreCall::Kind::kRange) {
     document["Items"] = std::move(list);
-    document["HasMore"] = false;
+    document["HasMore"] = has_more;
   } else {
     document["events"] = std::move(list);
   }
--- a/tests/soak/deployment_wire.h
+++ b/tests/soak/deployment_wire.h
@@ -31,7 +31,7 @@
   [[nodiscard]] testing::StoreCall ParseCall(const std::string& target) const override;
   [[nodiscard]] std::string EncodePage(testing::StoreCall::Kind kind,
                                        const std::vector<platform::KeyValueItem>& items,
-                                       platform::Revision revision) const override;
+                                       platform::Revision revision, bool has_more) const override;
 };
 
 }  // namespace wagtailwind::soak
--- a/tests/support/fake_store.cc
+++ b/tests/support/fake_store.cc
@@ -1,5 +1,6 @@
 #include "support/fake_store.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "http/message.h"
@@ -20,7 +21,9 @@
   call.path = std::string(target.substr(0, question));
   call.kind = call.path == names.watch_path ? StoreCall::Kind::kWatch : StoreCall::Kind::kRange;
   call.prefix = http::QueryParameter(query, names.prefix);
-  if (call.kind == StoreCall::Kind::kWatch) {
+  if (call.kind == StoreCall::Kind::kRange) {
+    call.after_key = http::QueryParameter(query, names.after);
+  } else {
     call.after = std::stoull(http::QueryParameter(query, names.after));
     call.wait = std::chrono::milliseconds(std::stoll(http::QueryParameter(query, names.wait)));
   }
@@ -62,10 +65,14 @@
     connection.Write(text);
     return;
   }
+  const std::size_t part = m_part_bytes == 0 ? text.size() : std::min(m_part_bytes, text.size());
   const auto entry = m_delayed.emplace(m_delayed.end());
-  *entry = std::make_unique<net::Timer>(m_loop, [this, entry, &connection, text] {
+  *entry = std::make_unique<net::Timer>(m_loop, [this, entry, &connection, text, part] {
     if (!connection.closed()) {
-      connection.Write(text);
+      connection.Write(std::string_view(text).substr(0, part));
+      if (part < text.size()) {
+        Answer(connection, text.substr(part));
+      }
     }
     m_delayed.erase(entry);
   });
@@ -74,12 +81,16 @@
 
 void FakeStore::AnswerPage(const Watch& watch, const std::vector<platform::KeyValueItem>& changes) {
   Answer(*watch.connection,
-         HttpText(kOk, "", m_wire.EncodePage(StoreCall::Kind::kWatch, changes, m_revision)));
+         HttpText(kOk, "", m_wire.EncodePage(StoreCall::Kind::kWatch, changes, m_revision, false)));
 }
 
 void FakeStore::Handle(ScriptedServer::Connection& connection) {
   const StoreCall call = m_wire.ParseCall(connection.head.target);
   ++calls[call.path];
+  if (m_calls_until_refusal >= 0 && m_calls_until_refusal-- == 0) {
+    Answer(connection, HttpText(m_refusal, "", ""));
+    return;
+  }
   if (m_endless) {
     connection.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     m_writer.Start(connection, "4\r\nmore\r\n");
@@ -99,11 +110,14 @@
   if (call.kind == StoreCall::Kind::kRange) {
     std::vector<platform::KeyValueItem> items;
     for (const auto& [key, item] : m_items) {
-      if (key.starts_with(call.prefix)) {
+      if (key.starts_with(call.prefix) && key > call.after_key) {
         items.push_back(item);
       }
     }
-    Answer(connection, HttpText(kOk, "", m_wire.EncodePage(call.kind, items, m_revision)));
+    const bool has_more = items.size() > m_page_size;
+    items.resize(std::min(items.size(), m_page_size));
+    Answer(connection,
+           HttpText(kOk, "", m_wire.EncodePage(call.kind, items, m_revision, has_more)));
     return;
   }
   if (call.after < m_compacted) {
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -21,6 +21,8 @@
   Kind kind = Kind::kRange;
   std::string path;
   std::string prefix;
+  /// Of range requests: the last key of the previous page.
+  std::string after_key;
   /// Of watches: changes after this revision are requested, for at most `wait`.
   platform::Revision after = 0;
   std::chrono::milliseconds wait{0};
@@ -48,7 +50,8 @@
   /// \brief Encodes the body of a successful response.
   [[nodiscard]] virtual std::string EncodePage(StoreCall::Kind kind,
                                                const std::vector<platform::KeyValueItem>& items,
-                                               platform::Revision revision) const = 0;
+                                               platform::Revision revision,
+                                               bool has_more) const = 0;
 };
 
 /// \brief A key-value service on an event loop, with watches and fault injection.
@@ -82,6 +85,21 @@
   /// \brief Number of bytes of answers without end.
   [[nodiscard]] std::size_t EndlessBytes() const noexcept { return m_writer.written; }
 
+  /// \brief Sends each answer in parts of `bytes`, with a pause before each.
+  void SetParts(std::size_t bytes, std::chrono::milliseconds pause) {
+    m_part_bytes = bytes;
+    m_delay = pause;
+  }
+
+  /// \brief Limits the number of items of a range answer.
+  void SetPageSize(std::size_t items) { m_page_size = items; }
+
+  /// \brief Answers the call after the next `skipped` ones with this status.
+  void RefuseOnce(int skipped, int status) {
+    m_calls_until_refusal = skipped;
+    m_refusal = status;
+  }
+
   /// \brief Delays each answer.
   void SetDelay(std::chrono::milliseconds delay) { m_delay = delay; }
 
@@ -109,6 +127,10 @@
   const StoreWire& m_wire;
   ScriptedServer m_server;
   EndlessWriter m_writer;
+  std::size_t m_part_bytes = 0;
+  std::size_t m_page_size = 1'000;
+  int m_calls_until_refusal = -1;
+  int m_refusal = 0;
   bool m_endless = false;
   bool m_repeats = false;
   /// The last answers by connection.
--- a/tests/support/forwarder_fixture.cc
+++ b/tests/support/forwarder_fixture.cc
@@ -85,8 +85,9 @@
 }
 
 std::string FakeDeployment::RangeRequest(std::string_view prefix,
-                                         std::string_view /*after_key*/) const {
-  return "GET /range?prefix=" + std::string(prefix) + " HTTP/1.1\r\nHost: s\r\n\r\n";
+                                         std::string_view after_key) const {
+  return "GET /range?prefix=" + std::string(prefix) + "&after=" + std::string(after_key) +
+         " HTTP/1.1\r\nHost: s\r\n\r\n";
 }
 
 std::string FakeDeployment::WatchRequest(std::string_view prefix, platform::Revision after,
@@ -97,7 +98,8 @@
 
 platform::RangePage FakeDeployment::DecodeRange(std::string_view body) const {
   platform::WatchPage page = DecodePage(body);
-  return {.items = std::move(page.changes), .has_more = false, .revision = page.revision};
+  const bool has_more = body.substr(0, body.find('\n')).ends_with(" more");
+  return {.items = std::move(page.changes), .has_more = has_more, .revision = page.revision};
 }
 
 platform::WatchPage FakeDeployment::DecodeWatch(std::string_view body) const {
@@ -111,8 +113,8 @@
 
 std::string FakeDeployment::EncodePage(StoreCall::Kind /*kind*/,
                                        const std::vector<platform::KeyValueItem>& items,
-                                       platform::Revision revision) const {
-  std::string body = std::to_string(revision) + "\n";
+                                       platform::Revision revision, bool has_more) const {
+  std::string body = std::to_string(revision) + (has_more ? " more\n" : "\n");
   for (const platform::KeyValueItem& item : items) {
     body += ItemLine(item);
   }
--- a/tests/support/forwarder_fixture.h
+++ b/tests/support/forwarder_fixture.h
@@ -71,7 +71,7 @@
   [[nodiscard]] StoreCall ParseCall(const std::string& target) const override;
   [[nodiscard]] std::string EncodePage(StoreCall::Kind kind,
                                        const std::vector<platform::KeyValueItem>& items,
-                                       platform::Revision revision) const override;
+                                       platform::Revision revision, bool has_more) const override;
 
   std::map<std::string, std::shared_ptr<const forward::RoutingConfiguration>, std::less<>>
       configurations;
--- a/tests/unit/forward_event_framer_test.cc
+++ b/tests/unit/forward_event_framer_test.cc
@@ -15,9 +15,9 @@
 using Events = std::vector<std::pair<std::string, std::optional<std::uint64_t>>>;
 
 void Feed(EventFramer& framer, std::string_view bytes, Events& events) {
-  framer.Feed(bytes, [&events](std::string_view event, std::optional<std::uint64_t> id) {
+  cr_assert(framer.Feed(bytes, [&events](std::string_view event, std::optional<std::uint64_t> id) {
     events.emplace_back(std::string(event), id);
-  });
+  }));
 }
 
 }  // namespace
@@ -46,3 +46,31 @@
   cr_assert_not(wagtailwind::forward::EventId("id: x\n\n").has_value());
   cr_assert_eq(*wagtailwind::forward::EventId("event: e\nid:12\n\n"), 12);
 }
+
+// Guards against counting comments as progress of a stream, and against losing their bytes.
+Test(event_framer, reports_comments_with_the_event_that_follows) {
+  const std::string stream = ": one\n\n\r\n: two\r\n\r\nid: 1\ndata: a\n\n: three\n\n";
+  for (std::size_t split = 0; split <= stream.size(); ++split) {
+    EventFramer framer;
+    Events events;
+    Feed(framer, std::string_view(stream).substr(0, split), events);
+    Feed(framer, std::string_view(stream).substr(split), events);
+    cr_assert_eq(events.size(), 1, "split at %zu", split);
+    cr_assert_eq(events[0].first + std::string(framer.Rest()), stream);
+    cr_assert_eq(*events[0].second, 1);
+  }
+}
+
+// Guards against a stream that fills the memory with an event that never ends.
+Test(event_framer, refuses_an_event_over_the_limit) {
+  for (const char* part : {"data: x\n", ": x\n\n", "\n\n", "x"}) {
+    EventFramer framer;
+    bool accepted = true;
+    std::size_t fed = 0;
+    while (accepted && fed <= 2 * EventFramer::kMaxEventBytes) {
+      accepted = framer.Feed(part, [](std::string_view, std::optional<std::uint64_t>) {});
+      fed += std::string_view(part).size();
+    }
+    cr_assert_leq(fed, EventFramer::kMaxEventBytes + std::string_view(part).size());
+  }
+}
--- a/tests/unit/forward_fuzz_test.cc
+++ b/tests/unit/forward_fuzz_test.cc
@@ -105,8 +105,8 @@
     std::size_t at = 0;
     while (at < text.size()) {
       const std::size_t part = 1 + random.NextBelow(7);
-      framer.Feed(std::string_view(text).substr(at, part),
-                  [&seen](std::string_view event, auto) { seen.append(event); });
+      cr_assert(framer.Feed(std::string_view(text).substr(at, part),
+                            [&seen](std::string_view event, auto) { seen.append(event); }));
       at += part;
     }
     cr_assert_eq(seen + std::string(framer.Rest()), text);
--- a/tests/unit/forward_prefix_feed_test.cc
+++ b/tests/unit/forward_prefix_feed_test.cc
@@ -196,6 +196,65 @@
   cr_assert_eq(fixture.listener.keys.size(), 22);
 }
 
+// Load: all routers of a fleet read a long list at the same time, and the service refuses what
+// exceeds its rate. Guards against reading pages again that have been read, which multiplies the
+// load, and against dropping a sound connection.
+Test(prefix_feed, goes_on_with_the_page_that_was_refused) {
+  for (const int status : {429, 503}) {
+    Fixture fixture;
+    for (int i = 10; i < 40; ++i) {
+      fixture.store.Put("endpoint/" + std::to_string(i), "1");
+    }
+    fixture.store.SetPageSize(10);
+    fixture.store.RefuseOnce(1, status);
+    fixture.Start();
+    cr_assert(fixture.RunUntil([&] { return fixture.listener.snapshots == 1; }));
+    cr_assert_eq(fixture.listener.last_items, 30);
+    cr_assert_eq(fixture.store.calls["/range"], 4);
+    cr_assert_eq(fixture.store.Connections(), 1);
+  }
+}
+
+// Load: all routers of a fleet read a long list after a power failure, so that each answer takes
+// seconds on the service's link. Guards against giving up answers that arrive slowly, and asking
+// for them again.
+Test(prefix_feed, waits_for_an_answer_that_arrives_slowly, .timeout = 30) {
+  Fixture fixture;
+  for (int i = 10; i < 40; ++i) {
+    fixture.store.Put("endpoint/" + std::to_string(i), std::string(1'000, 'x'));
+  }
+  constexpr std::size_t kPartBytes = 8'000;
+  fixture.store.SetParts(kPartBytes, 500ms);
+  fixture.Start();
+  cr_assert(fixture.RunUntil([&] { return fixture.listener.snapshots == 1; }));
+  cr_assert_eq(fixture.store.calls["/range"], 1);
+}
+
+// Guards against a call that never ends because its answer trickles.
+Test(prefix_feed, gives_up_an_answer_that_trickles, .timeout = 30) {
+  Fixture fixture;
+  fixture.store.Put("endpoint/a", std::string(1'000, 'x'));
+  fixture.store.SetParts(1, 100ms);
+  fixture.Start();
+  cr_assert(fixture.RunUntil([&] { return fixture.listener.lost == 1; }));
+}
+
+// Guards against losing a change between two pages, of which one was refused for some time.
+Test(prefix_feed, reports_what_changed_during_a_long_read) {
+  Fixture fixture;
+  for (int i = 10; i < 40; ++i) {
+    fixture.store.Put("endpoint/" + std::to_string(i), "1");
+  }
+  fixture.store.SetPageSize(10);
+  fixture.store.RefuseOnce(1, 429);
+  fixture.Start();
+  cr_assert(fixture.RunUntil([&] { return fixture.store.calls["/range"] == 2; }));
+  fixture.store.Delete("endpoint/10");
+  cr_assert(fixture.RunUntil([&] { return !fixture.listener.keys.empty(); }));
+  cr_assert_eq(fixture.listener.snapshots, 1);
+  cr_assert_eq(fixture.listener.keys[0], std::string("-endpoint/10"));
+}
+
 // Guards against taking a late copy of an earlier answer for the answer to the watch in progress,
 // and against being one answer behind on that connection from then on.
 Test(prefix_feed, confirms_nothing_by_a_late_copy) {
--- a/tests/unit/forward_silence_test.cc
+++ b/tests/unit/forward_silence_test.cc
@@ -173,3 +173,27 @@
   cr_assert_neq(caller.ReadUntil("0\r\n\r\n").find("id: " + std::to_string(kEvents)),
                 std::string::npos);
 }
+
+// Guards against giving up or repeating work that still runs at an endpoint which was only silent,
+// or too slow to renew its entry: its requests in flight go on.
+Test(forward_silence, leaves_running_work_at_an_endpoint_that_is_silent_for_a_while,
+     .timeout = 30) {
+  for (const RequestKind kind : {RequestKind::kNonIdempotent, RequestKind::kStream}) {
+    auto route = TestRoute(kind, 3);
+    route.timeout = 6'000ms;
+    Connection* running = nullptr;
+    TwoEndpoints fleet(
+        route, [&running](Connection& connection) { running = &connection; }, testing::AnswerOk);
+    const auto answer = fleet.Send("", "order", "POST");
+    cr_assert(fleet.RunUntil([&] { return running != nullptr; }));
+    fleet.store.Delete("endpoint/e1");
+    fleet.loop.RunFor(1'000ms);
+    fleet.store.Delete("endpoint/e2");
+    fleet.loop.RunFor(2'500ms);
+    cr_assert_not(running->closed());
+    testing::AnswerOk(*running);
+    cr_assert(fleet.RunUntil([&] { return answer->complete; }));
+    cr_assert_eq(answer->status, 200);
+    cr_assert_eq(fleet.arrivals, 1);
+  }
+}
