Check that the tests of the forwarder notice the absence of their mechanisms

Seven mechanisms can be removed by name in a build of the forwarder's unit tests; the ctest unit_mutants passes if the test of each one fails without it.

--- a/src/forward/caller_session.cc
+++ b/src/forward/caller_session.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "core/mutant.h"
 #include "forward/status_text.h"
 
 namespace wagtailwind::forward {
@@ -62,7 +63,7 @@
     return;
   }
   const auto left = kFirstRequestTime - (m_clock.Now() - m_accepted_at);
-  if (!m_has_had_request && left > 0ms) {
+  if (!m_has_had_request && left > 0ms && !IsMutantEnabled("forwarder_closes_new_connections")) {
     m_timer.Start(left);
     return;
   }
--- a/src/forward/forward_task_answer.cc
+++ b/src/forward/forward_task_answer.cc
@@ -120,7 +120,8 @@
   m_connection->endpoint->health.OnBytesReceived(m_context.clock.Now());
   const std::string_view id = http::FindHeader(head.headers, m_context.names.attempt_id);
   // Without an id, only the first response on a connection certainly belongs to this request.
-  const bool belongs = id.empty() ? !m_connection->reused : id == m_id;
+  const bool belongs = (id.empty() ? !m_connection->reused : id == m_id) ||
+                       IsMutantEnabled("forwarder_accepts_late_copies");
   if (!belongs) {
     Log(kAnswerSkipped, {{"id", m_id},
                          {"answer_id", id},
--- a/src/http1/client_connection.cc
+++ b/src/http1/client_connection.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "core/mutant.h"
+
 namespace wagtailwind::http1 {
 
 namespace {
@@ -123,7 +125,7 @@
 
 bool ClientConnection::OnHead(MessageHead head) {
   m_keep_alive = head.keep_alive;
-  if (head.status < kFirstFinalStatus) {
+  if (head.status < kFirstFinalStatus && !IsMutantEnabled("interim_response_is_final")) {
     // An interim response, which is followed by the final one.
     m_switched_protocol = head.status == kSwitchingProtocols;
     m_skipping_response = true;
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/mutant.h"
+
 namespace wagtailwind::net {
 
 namespace {
@@ -81,7 +83,7 @@
 void Timer::OnExpired(uv_timer_t* timer) {
   auto* handle = static_cast<Handle*>(timer->data);
   const std::uint64_t now = uv_now(timer->loop);
-  if (now > handle->due + kHeldUpMs) {
+  if (now > handle->due + kHeldUpMs && !IsMutantEnabled("timers_run_before_events")) {
     handle->due = now;
     uv_timer_start(timer, &Timer::OnExpired, 1, 0);
     return;
--- /dev/null
+++ b/tests/unit/mutants_test.sh
@@ -0,0 +1,29 @@
+#!/usr/bin/env bash
+# Runs tests of the forwarder without the mechanism that each one is for. They must fail, and must pass
+# with all mechanisms. Argument: the path of the program `forward_tests_mutants`.
+set -uo pipefail
+tests=$1
+declare -A test_of=(
+  [forwarder_keeps_endless_events]=forward_endless_answer/ends_a_call_whose_answer_is_none
+  [forwarder_ignores_slow_callers]=forward_endless_answer/reads_no_faster_than_the_caller
+  [interim_response_is_final]=forward_late_copy/passes_over_interim_responses
+  [forwarder_accepts_late_copies]=forward_late_copy/is_skipped_while_the_next_request_waits
+  [forwarder_accepts_unconfirmed_keys]=forward_pause/sends_nothing_with_a_key_that_was_not_confirmed_since
+  [timers_run_before_events]=forward_pause/delivers_an_answer_that_arrived_during_a_pause
+  [forwarder_closes_new_connections]=forward_stop/answers_the_first_request_of_a_new_connection
+)
+passed=0
+failed=0
+for mutant in "${!test_of[@]}"; do
+  if ! "$tests" --filter "${test_of[$mutant]}" --quiet >/dev/null 2>&1; then
+    echo "${test_of[$mutant]} fails without a mutant"
+    failed=$((failed + 1))
+  elif WAGTAILWIND_MUTANT="$mutant" "$tests" --filter "${test_of[$mutant]}" --quiet >/dev/null 2>&1; then
+    echo "${test_of[$mutant]} does not notice $mutant"
+    failed=$((failed + 1))
+  else
+    passed=$((passed + 1))
+  fi
+done
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ]
