--- a/tests/support/forwarder_fixture.h
+++ b/tests/support/forwarder_fixture.h
@@ -151,6 +151,10 @@
   int arrivals = 0;
 };
 
+/// \brief Returns the text of a request for TestRoute(). `headers` may replace the key.
+[[nodiscard]] std::string RequestText(std::string_view headers = "", std::string_view body = "",
+                                      std::string_view method = "GET");
+
 /// \brief Answers with a success whose body is `answer`.
 void AnswerOk(ScriptedServer::Connection& connection);
 
