--- a/tests/support/scripted_server.cc
+++ b/tests/support/scripted_server.cc
@@ -85,7 +85,7 @@
 }
 
 void EndlessWriter::Start(ScriptedServer::Connection& connection, std::string_view text) {
-  Entry& entry = m_entries.emplace_back(&connection);
+  Entry& entry = m_entries.emplace_back(Entry{.connection = &connection, .text = {}});
   while (entry.text.size() < kPartBytes) {
     entry.text.append(text);
   }
--- a/tests/unit/forward_endless_answer_test.cc
+++ b/tests/unit/forward_endless_answer_test.cc
@@ -1,7 +1,7 @@
 // Endpoints that send bytes which are no answer, without end.
 
 #include <string>
-#include <thread>
+#include <vector>
 
 #include "support/forwarder_fixture.h"
 #include "support/raw_connection.h"
@@ -47,32 +47,44 @@
                                  : text.replace(at, placeholder.size(), SignedHeaders(connection));
 }
 
-const std::string kOk = "HTTP/1.1 200 OK\r\n{signed}";
-const std::string kChunked = "Transfer-Encoding: chunked\r\n\r\n";
-const std::string kEvents = kOk + "Content-Type: text/event-stream\r\n" + kChunked;
-
-const EndlessAnswer kNoAnswers[] = {
-    {"header fields", kOk, "Field: value\r\n"},
-    {"one header field", kOk + "Field: ", "value"},
-    {"line ends before the status line", "", "\r\n"},
-    {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
-    {"a switch of protocols", "HTTP/1.1 101 Switching Protocols\r\n\r\n", "x"},
-    {"responses to other requests", "",
-     HttpText(200, "Signed: yes\r\nAttempt: other\r\n", std::string(100, 'x'))},
-    {"a response to another request",
-     "HTTP/1.1 200 OK\r\nSigned: yes\r\nAttempt: other\r\n" + kChunked, Chunk("other")},
-    {"an event without a blank line", kEvents, Chunk("data: more")},
-    {"lines of one event", kEvents, Chunk("data: more\n")},
-    {"comments", kEvents, Chunk(": more\n\n")},
-    {"blank lines", kEvents, Chunk("\n\n")},
-    {"an event without end after others", kEvents + Event(1) + Event(2), Chunk("data: more\n")},
-    {"repeated events", kEvents + Event(1), Event(1)},
-    {"chunk extensions", kOk + kChunked + "1;", "extension"},
-    {"trailers", kOk + kChunked + "0\r\n", "Field: value\r\n"},
-    {"an error response", "HTTP/1.1 500 Error\r\n{signed}" + kChunked, Chunk("failed")},
-    {"an error response without length", "HTTP/1.1 500 Error\r\n{signed}\r\n", "failed"},
-    {"an unsigned response", "HTTP/1.1 200 OK\r\nAttempt: a1\r\n" + kChunked, Chunk("x")},
-};
+constexpr const char* kChunked = "Transfer-Encoding: chunked\r\n\r\n";
+constexpr const char* kError = "HTTP/1.1 500 Error\r\n{signed}";
+constexpr const char* kOk = "HTTP/1.1 200 OK\r\n{signed}";
+
+std::string ChunkedHead() { return std::string(kOk) + kChunked; }
+
+std::string EventHead() {
+  return std::string(kOk) + "Content-Type: text/event-stream\r\n" + kChunked;
+}
+
+/// Returns responses that are not the answer to any request.
+std::vector<EndlessAnswer> NoAnswers() {
+  return {
+      {"header fields", kOk, "Field: value\r\n"},
+      {"one header field", std::string(kOk) + "Field: ", "value"},
+      {"line ends before the status line", "", "\r\n"},
+      {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"a switch of protocols", "HTTP/1.1 101 Switching Protocols\r\n\r\n", "x"},
+      {"responses to other requests", "",
+       HttpText(200, "Signed: yes\r\nAttempt: other\r\n", std::string(100, 'x'))},
+      {"a response to another request",
+       std::string("HTTP/1.1 200 OK\r\nSigned: yes\r\nAttempt: other\r\n") + kChunked,
+       Chunk("other")},
+      {"an event without a blank line", EventHead(), Chunk("data: more")},
+      {"lines of one event", EventHead(), Chunk("data: more\n")},
+      {"comments", EventHead(), Chunk(": more\n\n")},
+      {"blank lines", EventHead(), Chunk("\n\n")},
+      {"an event without end after others", EventHead() + Event(1) + Event(2),
+       Chunk("data: more\n")},
+      {"repeated events", EventHead() + Event(1), Event(1)},
+      {"chunk extensions", ChunkedHead() + "1;", "extension"},
+      {"trailers", ChunkedHead() + "0\r\n", "Field: value\r\n"},
+      {"an error response", std::string(kError) + kChunked, Chunk("failed")},
+      {"an error response without length", std::string(kError) + "\r\n", "failed"},
+      {"an unsigned response", std::string("HTTP/1.1 200 OK\r\nAttempt: a1\r\n") + kChunked,
+       Chunk("x")},
+  };
+}
 
 /// A forwarder whose first endpoint that gets a request sends an endless answer, and whose others
 /// answer.
@@ -104,7 +116,7 @@
 // because one endpoint sends bytes without end. A call that must not be repeated ends without a
 // success and without the claim that it has not run.
 Test(forward_endless_answer, ends_a_call_whose_answer_is_none, .timeout = 120) {
-  for (const EndlessAnswer& answer : kNoAnswers) {
+  for (const EndlessAnswer& answer : NoAnswers()) {
     for (const RequestKind kind : {RequestKind::kNonIdempotent, RequestKind::kStream}) {
       Fixture fleet(TestRoute(kind, 3), answer, 1);
       const auto result = fleet.Call("", "order", "POST");
@@ -121,7 +133,7 @@
 // Guards against waiting for the end of an answer that has none, while another endpoint could serve
 // the request.
 Test(forward_endless_answer, tries_a_repeatable_call_elsewhere, .timeout = 120) {
-  for (const EndlessAnswer& answer : kNoAnswers) {
+  for (const EndlessAnswer& answer : NoAnswers()) {
     Fixture fleet(TestRoute(RequestKind::kIdempotent, 3), answer, 2);
     const auto result = fleet.Call();
     // A response that has begun can only be continued with events.
@@ -137,7 +149,8 @@
 // Guards against holding a refused request until its deadline: the head of the refusal already
 // tells that the request has not run.
 Test(forward_endless_answer, takes_an_endless_refusal_as_a_refusal, .timeout = 60) {
-  const EndlessAnswer refusal{"refusal", "HTTP/1.1 503 Full\r\n{signed}Refused: 1\r\n" + kChunked,
+  const EndlessAnswer refusal{"refusal",
+                              std::string("HTTP/1.1 503 Full\r\n{signed}Refused: 1\r\n") + kChunked,
                               Chunk("full")};
   Fixture single(TestRoute(RequestKind::kNonIdempotent, 3), refusal, 1);
   cr_assert_eq(single.Call("", "order", "POST")->status, 503);
@@ -157,8 +170,8 @@
 // read.
 Test(forward_endless_answer, reads_no_faster_than_the_caller, .timeout = 60) {
   const EndlessAnswer answers[] = {
-      {"a body", kOk + kChunked, Chunk(std::string(1000, 'x'))},
-      {"events", kEvents, Chunk("data: x\n\n")},
+      {"a body", ChunkedHead(), Chunk(std::string(1000, 'x'))},
+      {"events", EventHead(), Chunk("data: x\n\n")},
   };
   for (const EndlessAnswer& answer : answers) {
     auto route = TestRoute(RequestKind::kNonIdempotent);
@@ -176,14 +189,15 @@
 // Guards against filling the memory with the answers to a caller that sends requests and reads
 // nothing.
 Test(forward_endless_answer, handles_no_more_requests_than_the_caller_reads) {
+  constexpr std::size_t kBodyBytes = 256U << 10U;
   testing::SingleEndpoint fleet(TestRoute(RequestKind::kIdempotent), [](Connection& connection) {
     connection.Write(HttpText(200, SignedHeaders(connection) + "Keep-Alive: timeout=5\r\n",
-                              std::string(256U << 10U, 'x')));
+                              std::string(kBodyBytes, 'x')));
   });
   const RawConnection caller(fleet.forwarder->CallerAddress(), 4'096);
   for (int i = 0; i < 200; ++i) {
     caller.Write(testing::RequestText());
   }
   fleet.loop.RunFor(1'000ms);
-  cr_assert_leq(fleet.endpoint.requests * (256U << 10U), kMaxRead);
+  cr_assert_leq(static_cast<std::size_t>(fleet.endpoint.requests) * kBodyBytes, kMaxRead);
 }
--- a/tests/unit/forward_late_copy_test.cc
+++ b/tests/unit/forward_late_copy_test.cc
@@ -21,7 +21,7 @@
 
 using Connection = ScriptedServer::Connection;
 
-const std::string kKeepAlive = "Keep-Alive: timeout=5\r\n";
+constexpr const char* kKeepAlive = "Keep-Alive: timeout=5\r\n";
 
 std::string RightAnswer(const Connection& connection) {
   return HttpText(200, SignedHeaders(connection) + kKeepAlive, "right");
@@ -29,8 +29,9 @@
 
 /// A copy of the answer to an earlier request, with and without that request's id.
 std::string Copy(bool with_id) {
-  return HttpText(200, "Signed: yes\r\n" + kKeepAlive + (with_id ? "Attempt: earlier\r\n" : ""),
-                  "wrong");
+  return HttpText(
+      200, std::string("Signed: yes\r\n") + kKeepAlive + (with_id ? "Attempt: earlier\r\n" : ""),
+      "wrong");
 }
 
 }  // namespace
