--- a/src/endpoint/http_plain_service.cc
+++ b/src/endpoint/http_plain_service.cc
@@ -108,7 +108,6 @@
   request.body = std::move(call.body);
   request.timeout = call.timeout;
   request.max_answer_bytes = m_max_answer_bytes;
-  request.repeatable = call.repeatable;
   (void)m_loop.Start(std::move(request), std::make_shared<AnswerCollector>(std::move(done)));
 }
 
--- a/src/endpoint/transfer_loop.h
+++ b/src/endpoint/transfer_loop.h
@@ -25,8 +25,6 @@
   std::string body;
   std::chrono::milliseconds timeout{30'000};
   std::size_t max_answer_bytes = std::size_t{1} << 20U;
-  /// If false, the request uses a new connection that is closed afterwards and is never resent.
-  bool repeatable = true;
 };
 
 /// \brief Receives an HTTP answer. Called on the loop's thread; implementations must not block.
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -14,7 +14,6 @@
 
 // Larger than any value or list of the services that are called with this client.
 constexpr std::size_t kMaxBodyBytes = 32U << 20U;
-constexpr std::size_t kMaxHeaderBytes = 64U << 10U;
 
 /// Returns fewer bytes than it was given if the body exceeds the limit, which makes libcurl end the
 /// call.
