Discard what has not been transmitted when an attempt is cancelled

Cause: a cancelled attempt closed its connection gracefully, so that a request which still waited on a busy link was delivered after its caller had left. Change: the connection of an attempt that is cancelled or fails is reset. Test: forward_pause::discards_what_was_not_transmitted_when_the_caller_leaves, which failed first.

--- a/src/forward/forward_task_attempts.cc
+++ b/src/forward/forward_task_attempts.cc
@@ -158,6 +158,9 @@
   m_silence_timer.Cancel();
   if (m_connection) {
     m_connection->endpoint->load.OnEnded();
+    // A graceful close would still transmit a request that waits on a busy link, and the endpoint
+    // would run it for nobody.
+    m_connection->connection->ResetOnClose();
     m_context.pool.Discard(std::move(*m_connection));
     m_connection.reset();
   }
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -68,6 +68,9 @@
   /// \brief Sets the observer to notify when the idle connection ends.
   void SetIdleObserver(ResponseObserver* observer) noexcept { m_observer = observer; }
 
+  /// \brief Makes the destructor discard what has not been transmitted yet.
+  void ResetOnClose() noexcept { m_stream.ResetOnClose(); }
+
   void StopReading() noexcept { m_stream.StopReading(); }
   void StartReading() { m_stream.StartReading(); }
   void SetPeerTimeout(std::chrono::milliseconds timeout) noexcept {
--- a/tests/unit/forward_pause_test.cc
+++ b/tests/unit/forward_pause_test.cc
@@ -1,8 +1,12 @@
 // A process that was paused or suspended between two steps of a request.
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <string>
 #include <thread>
 
+#include "http/socket_address.h"
 #include "support/forwarder_fixture.h"
 #include "support/raw_connection.h"
 
@@ -117,3 +121,40 @@
   fleet.loop.RunFor(100ms);
   cr_assert_eq(fleet.endpoint.requests, 1);
 }
+
+// Guards against delivering a request after its caller has left: what still waits on a slow link to
+// the endpoint is discarded.
+Test(forward_pause, discards_what_was_not_transmitted_when_the_caller_leaves) {
+  // More than the receive buffer of the endpoint, less than the send buffer of the router.
+  constexpr std::size_t kBodyBytes = 32U << 10U;
+  const int listener = socket(AF_INET, SOCK_STREAM, 0);
+  const int small_buffer = 4'096;
+  setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &small_buffer, sizeof(small_buffer));
+  const auto any = http::ParseSocketAddress("127.0.0.1:0");
+  cr_assert_eq(bind(listener, any.Get(), any.Size()), 0);
+  cr_assert_eq(listen(listener, 1), 0);
+  sockaddr_storage bound{};
+  socklen_t size = sizeof(bound);
+  getsockname(listener, reinterpret_cast<sockaddr*>(&bound), &size);
+  testing::ForwarderFixture fleet;
+  fleet.store.Put("endpoint/e1", "engine " + http::SocketAddress(bound, size).Text() + " ready 1");
+  fleet.Configure(TestRoute(RequestKind::kIdempotent));
+  fleet.Start();
+  const auto answer = fleet.Send("", std::string(kBodyBytes, 'x'), "POST");
+  fleet.loop.RunFor(100ms);
+  fleet.DropCallers();
+  fleet.loop.RunFor(100ms);
+  const int endpoint = accept(listener, nullptr, nullptr);
+  std::size_t received = 0;
+  std::string buffer(64U << 10U, '\0');
+  while (true) {
+    const ssize_t count = recv(endpoint, buffer.data(), buffer.size(), 0);
+    if (count <= 0) {
+      break;
+    }
+    received += static_cast<std::size_t>(count);
+  }
+  close(endpoint);
+  close(listener);
+  cr_assert_lt(received, kBodyBytes);
+}
