--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -18,6 +18,7 @@
 using histories::Fault;
 using histories::FaultKind;
 
+constexpr std::chrono::milliseconds kProgramStartTime = 1'000ms;
 constexpr const char* kConfigurationKey = "op/config";
 constexpr const char* kEndpointPrefix = "servers/";
 
@@ -465,8 +466,11 @@
 void SoakFleet::Tick() {
   ReadEndpointLog();
   for (std::size_t i = 0; i < m_routers.size(); ++i) {
-    m_ledger.OnMemory(Ledger::RouterScope(i),
-                      testing::ReadProcessUsage(m_routers[i].process->Id()).resident_bytes);
+    // Until it runs its program, a new process has the memory of the soak.
+    if (m_clock.Now() - m_routers[i].started > kProgramStartTime) {
+      m_ledger.OnMemory(Ledger::RouterScope(i),
+                        testing::ReadProcessUsage(m_routers[i].process->Id()).resident_bytes);
+    }
     if (!m_routers[i].terminating && m_routers[i].process->HasEnded()) {
       m_ledger.OnUnexpectedExit(Ledger::RouterScope(i), m_routers[i].process->Wait());
       StartRouter(i);
