--- a/src/forward/prefix_feed.cc
+++ b/src/forward/prefix_feed.cc
@@ -42,8 +42,8 @@
 // that the service may have dropped.
 constexpr std::chrono::milliseconds kMaxReadTime = 15'000ms;
 
-// Several versions of a configuration of the largest size. Two feeds that hold this much, and the
-// records decoded from it, fit into the smallest instance.
+// Several versions of a configuration of the largest size. This much, and the records decoded from
+// it, fit into the smallest instance.
 constexpr std::size_t kMaxAnswerBytes = 8U << 20U;
 
 constexpr int kOk = 200;
--- a/src/net/tcp_stream.cc
+++ b/src/net/tcp_stream.cc
@@ -36,18 +36,22 @@
          poll(&entry, 1, 0) > 0 && (entry.revents & POLLIN) != 0;
 }
 
-/// Returns the socket error of a connection for which the loop reported an end of file, or 0 if the
-/// peer closed it gracefully.
-int PendingError(const uv_tcp_t& tcp) noexcept {
+/// Returns what a read of the connection would return, without consuming it: 1 if there are bytes,
+/// 0 at the end of the peer's data, or a negative error.
+int Peek(const uv_tcp_t& tcp) noexcept {
   uv_os_fd_t descriptor = -1;
   if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp), &descriptor) < 0) {
     return UV_EBADF;
   }
   char byte = 0;
-  return recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 ? uv_translate_sys_error(errno)
-                                                                 : 0;
+  const ssize_t received = recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return received < 0 ? uv_translate_sys_error(errno) : static_cast<int>(received);
 }
 
+/// Returns the socket error of a connection for which the loop reported an end of file, or 0 if the
+/// peer closed it gracefully.
+int PendingError(const uv_tcp_t& tcp) noexcept { return std::min(Peek(tcp), 0); }
+
 sockaddr_storage ParseAddress(const std::string& address) {
   const http::SocketAddress parsed = http::ParseSocketAddress(address);
   sockaddr_storage storage{};
@@ -217,13 +221,8 @@
 }
 
 bool TcpStream::HasEnded() const noexcept {
-  uv_os_fd_t descriptor = -1;
-  char byte = 0;
-  if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&m_handle->tcp), &descriptor) < 0) {
-    return true;
-  }
-  const ssize_t received = recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+  const int peeked = Peek(m_handle->tcp);
+  return peeked <= 0 && peeked != UV_EAGAIN;
 }
 
 bool TcpStream::HasUnreadBytes() const noexcept { return IsReadable(m_handle->tcp); }
