Log the parts of a prompt and the state of the answer when a connection is lost

Cause: attempt_failed showed neither whether the answer had begun nor what the prompts of lost requests have in common, so the logs of a crash could not tell the request that caused it from those that were in flight by chance. Change: the fields status, answer_began and parts; parts of a prompt are parsed into a type of their own.

--- a/src/forward/endpoint_ranking.cc
+++ b/src/forward/endpoint_ranking.cc
@@ -1,7 +1,6 @@
 #include "forward/endpoint_ranking.h"
 
 #include <algorithm>
-#include <charconv>
 #include <chrono>
 
 #include "core/hash.h"
@@ -267,25 +266,4 @@
   return ranking;
 }
 
-std::optional<SharedPrompt> ParsePrompt(std::string_view parts) noexcept {
-  if (parts.empty()) {
-    return std::nullopt;
-  }
-  const std::size_t last = parts.rfind(',');
-  std::string_view shared = last == std::string_view::npos ? parts : parts.substr(0, last);
-  SharedPrompt prompt{.key = StableHash(shared)};
-  while (!shared.empty()) {
-    const std::size_t end = std::min(shared.find(','), shared.size());
-    const std::string_view part = shared.substr(0, end);
-    shared.remove_prefix(std::min(end + 1, shared.size()));
-    const std::size_t colon = part.find(':');
-    std::uint64_t tokens = 0;
-    if (colon != std::string_view::npos) {
-      std::from_chars(part.data() + colon + 1, part.data() + part.size(), tokens);
-    }
-    prompt.tokens += tokens;
-  }
-  return prompt;
-}
-
 }  // namespace wagtailwind::forward
--- a/src/forward/endpoint_ranking.h
+++ b/src/forward/endpoint_ranking.h
@@ -5,22 +5,15 @@
 #include <cstdint>
 #include <optional>
 #include <span>
-#include <string_view>
 #include <vector>
 
 #include "core/clock.h"
 #include "core/random_source.h"
 #include "forward/endpoint.h"
+#include "forward/prompt.h"
 
 namespace wagtailwind::forward {
 
-/// \brief The parts of a prompt that a request shares with other requests.
-struct SharedPrompt {
-  /// Hash of the parts.
-  std::uint64_t key = 0;
-  std::uint64_t tokens = 0;
-};
-
 /// \brief Properties of a request that determine the order of endpoints.
 struct RankingRequest {
   /// The prompt's shared parts; empty for requests without a prompt.
@@ -67,10 +60,6 @@
                                     const RankingRequest& request, SteadyTime now,
                                     RandomSource& random, std::size_t limit);
 
-/// \brief Parses a comma-separated list of `id:tokens`, the last part of which belongs to this
-/// request alone. Returns empty if the list is empty.
-[[nodiscard]] std::optional<SharedPrompt> ParsePrompt(std::string_view parts) noexcept;
-
 }  // namespace wagtailwind::forward
 
 #endif  // WAGTAILWIND_FORWARD_ENDPOINT_RANKING_H_
--- a/src/forward/forward_task_attempts.cc
+++ b/src/forward/forward_task_attempts.cc
@@ -192,7 +192,10 @@
                        {"reason", requests::ToText(reason)},
                        {"detail", detail},
                        {"sent", m_sent ? 1 : 0},
+                       {"status", m_kind == AnswerKind::kNone ? 0 : m_answer_head.status},
+                       {"answer_began", m_last_event_at ? 1 : 0},
                        {"events", m_events},
+                       {"parts", ToText(m_prompt.parts)},
                        {"after_ms", detail::ToMilliseconds(m_context.clock.Now() - m_sent_at)}});
   CountAttempt("lost");
   endpoint->health.OnFailure(AttemptFailure::kConnectionLost, m_context.clock.Now());
