Show that a prompt can crash one endpoint after another

Cause: requests with the part are sent to the next endpoint, by repeats and by new requests, until none is left.

--- a/tests/support/forwarder_fixture.cc
+++ b/tests/support/forwarder_fixture.cc
@@ -154,10 +154,18 @@
                                               ScriptedServer::Handler handler) {
   ScriptedServer& server =
       *m_endpoints.emplace_back(std::make_unique<ScriptedServer>(loop, std::move(handler)));
+  m_endpoint_names[name] = &server;
   store.Put("endpoint/" + name, "engine " + server.Address() + " ready 1");
   return server;
 }
 
+void ForwarderFixture::CrashEndpoint(const std::string& name) {
+  const ScriptedServer* server = m_endpoint_names.at(name);
+  loop.Post([this, server] {
+    m_endpoints.remove_if([server](const auto& entry) { return entry.get() == server; });
+  });
+}
+
 void ForwarderFixture::Configure(forward::Route route) {
   auto configuration = std::make_shared<forward::RoutingConfiguration>();
   configuration->version = ++m_version;
@@ -172,7 +180,7 @@
 
 void ForwarderFixture::Start() {
   settings::ForwarderSettings settings;
-  settings.instance = InstanceName("router-1");
+  settings.instance = InstanceName("router-" + std::to_string(++m_routers));
   settings.zone = AvailabilityZoneName("zone-1");
   settings.listen_callers = "127.0.0.1:0";
   settings.listen_admin = "127.0.0.1:0";
@@ -210,7 +218,10 @@
 
 std::string RequestText(std::string_view headers, std::string_view body, std::string_view method) {
   std::string request(method);
-  request.append(" /r/x?q=1 HTTP/1.1\r\nHost: h.example\r\nAttempt: a1\r\n");
+  request.append(" /r/x?q=1 HTTP/1.1\r\nHost: h.example\r\n");
+  if (headers.find("Attempt:") == std::string_view::npos) {
+    request.append("Attempt: a1\r\n");
+  }
   if (headers.find("Secret:") == std::string_view::npos) {
     request.append("Secret: key-1\r\n");
   }
--- a/tests/support/forwarder_fixture.h
+++ b/tests/support/forwarder_fixture.h
@@ -98,10 +98,15 @@
   /// \brief Adds an endpoint of the service `engine` that answers with `handler`.
   ScriptedServer& AddEndpoint(const std::string& name, ScriptedServer::Handler handler);
 
+  /// \brief Makes an endpoint crash once the current callback has returned: its connections are
+  /// closed, and its address refuses new ones. Its entry stays.
+  void CrashEndpoint(const std::string& name);
+
   /// \brief Stores a new configuration with one route.
   void Configure(forward::Route route);
 
-  /// \brief Starts the forwarder and runs the loop until it is ready.
+  /// \brief Starts the forwarder, as another instance each time, and runs the loop until it is
+  /// ready.
   void Start();
 
   /// \brief Sends a request on a new connection. The returned answer is filled while the loop runs.
@@ -131,7 +136,9 @@
   class Caller;
 
   std::uint64_t m_version = 0;
+  int m_routers = 0;
   std::list<std::unique_ptr<ScriptedServer>> m_endpoints;
+  std::map<std::string, ScriptedServer*> m_endpoint_names;
   std::list<std::unique_ptr<Caller>> m_callers;
 };
 
@@ -151,7 +158,7 @@
   int arrivals = 0;
 };
 
-/// \brief Returns the text of a request for TestRoute(). `headers` may replace the key.
+/// \brief Returns the text of a request for TestRoute(). `headers` may replace the key and the id.
 [[nodiscard]] std::string RequestText(std::string_view headers = "", std::string_view body = "",
                                       std::string_view method = "GET");
 
