Quarantine prompts under which endpoints crash, on all routers

Cause: a router keeps nothing of the requests that were in flight when an endpoint crashed, and no router tells another. It repeats the request elsewhere, and each new request with the same part begins at zero. Class of fault: a request that is harmful by its content is treated as a failure of the endpoint. Change: a lost request that waited for its first event is a suspect; a refused connection tells a crash from a closed one; prompts whose answer had begun rule out those that only waited; an answer clears the parts of its prompt. The parts that explain the crashes are refused with 503. Reports go to the other routers as records with a lease in the key-value service, which the existing watch covers. A repeat of a prompt whose answer had begun waits 25 ms for the check. Why it works: the culprit is in the intersection of what was in flight, and what sound prompts share is cleared by their answers within a second.

--- a/platform/json_fields.h
+++ b/src/core/json_fields.h
@@ -1,12 +1,12 @@
-#ifndef WAGTAILWIND_PLATFORM_JSON_FIELDS_H_
-#define WAGTAILWIND_PLATFORM_JSON_FIELDS_H_
+#ifndef WAGTAILWIND_CORE_JSON_FIELDS_H_
+#define WAGTAILWIND_CORE_JSON_FIELDS_H_
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
 
-namespace wagtailwind::adapter::detail {
+namespace wagtailwind::json_fields {
 
 /// \brief Parses JSON; throws Exception if `text` is not valid JSON.
 template <typename Exception>
@@ -80,6 +80,6 @@
   return object[name].get<bool>();
 }
 
-}  // namespace wagtailwind::adapter::detail
+}  // namespace wagtailwind::json_fields
 
-#endif  // WAGTAILWIND_PLATFORM_JSON_FIELDS_H_
+#endif  // WAGTAILWIND_CORE_JSON_FIELDS_H_
--- /dev/null
+++ b/src/forward/crash_detector.h
@@ -0,0 +1,44 @@
+#ifndef WAGTAILWIND_FORWARD_CRASH_DETECTOR_H_
+#define WAGTAILWIND_FORWARD_CRASH_DETECTOR_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "forward/endpoint.h"
+#include "forward/prompt_quarantine.h"
+#include "net/event_loop.h"
+
+namespace wagtailwind::forward {
+
+/// \brief Tells crashed endpoints from those that only closed a connection: a crashed one refuses
+/// new connections.
+class CrashDetector {
+ public:
+  /// Receives a crashed endpoint and the prompts that waited for their first event there. May be
+  /// called again for the same endpoint with further prompts.
+  using CrashHandler =
+      std::function<void(const EndpointPtr& endpoint, std::vector<SuspectPrompt> prompts)>;
+
+  CrashDetector(net::EventLoop& loop, CrashHandler on_crash);
+  ~CrashDetector();
+  CrashDetector(const CrashDetector&) = delete;
+  CrashDetector& operator=(const CrashDetector&) = delete;
+
+  /// \brief The endpoint closed the connection of a request that waited for its first event.
+  void OnConnectionLost(const EndpointPtr& endpoint, SuspectPrompt prompt);
+
+ private:
+  class Probe;
+
+  void EndProbe(const Endpoint* endpoint, bool is_crashed);
+
+  net::EventLoop& m_loop;
+  CrashHandler m_on_crash;
+  std::map<const Endpoint*, std::unique_ptr<Probe>> m_probes;
+};
+
+}  // namespace wagtailwind::forward
+
+#endif  // WAGTAILWIND_FORWARD_CRASH_DETECTOR_H_
--- a/src/forward/deployment_adapter.h
+++ b/src/forward/deployment_adapter.h
@@ -44,6 +44,9 @@
   /// \brief Returns the prefix of the endpoints' entries; the rest of a key is the endpoint's name.
   [[nodiscard]] virtual std::string_view EndpointPrefix() const noexcept = 0;
 
+  /// \brief Returns the prefix of the records that routers write for each other.
+  [[nodiscard]] virtual std::string_view RouterPrefix() const noexcept = 0;
+
   /// \brief Decodes a configuration. Throws MalformedConfiguration.
   [[nodiscard]] virtual std::shared_ptr<const RoutingConfiguration> DecodeConfiguration(
       std::string_view value) const = 0;
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -12,8 +12,10 @@
 #include "core/random_source.h"
 #include "forward/confirmation.h"
 #include "forward/connection_pool.h"
+#include "forward/crash_detector.h"
 #include "forward/endpoint_registry.h"
 #include "forward/memory_budget.h"
+#include "forward/prompt_quarantine.h"
 #include "forward/routing.h"
 #include "forward/traffic_share.h"
 #include "forward/wire_names.h"
@@ -44,6 +46,8 @@
   TrafficShare traffic_share;
   /// Retry budgets by service.
   std::map<std::string, requests::RetryBudget, std::less<>> retry_budgets;
+  CrashDetector crashes;
+  PromptQuarantine quarantine;
   /// Answers that have been received and not yet been sent to their callers.
   MemoryBudget answer_memory;
 
--- a/src/forward/forward_task.cc
+++ b/src/forward/forward_task.cc
@@ -48,7 +48,8 @@
       m_on_detached_end(std::move(on_detached_end)),
       m_id(http::FindHeader(m_request.head.headers, context.names.attempt_id)),
       m_deadline_timer(context.loop, [this] { OnDeadlineTimer(); }),
-      m_silence_timer(context.loop, [this] { OnSilenceTimeout(); }) {}
+      m_silence_timer(context.loop, [this] { OnSilenceTimeout(); }),
+      m_retry_timer(context.loop, [this] { OnRetryTimer(); }) {}
 
 ForwardTask::~ForwardTask() {
   if (m_connection) {
@@ -72,7 +73,7 @@
     return;
   }
   ReadDeadline();
-  if (!FindEndpoints()) {
+  if (!CheckPrompt() || !FindEndpoints()) {
     return;
   }
   if (!IsMutantEnabled("forwarder_has_no_time_limit")) {
@@ -184,6 +185,23 @@
   return std::nullopt;
 }
 
+bool ForwardTask::CheckPrompt() {
+  if (!m_route->has_prompt) {
+    return true;
+  }
+  m_prompt = ParsePrompt(http::FindHeader(m_request.head.headers, m_context.names.prompt_parts));
+  if (!IsQuarantined()) {
+    return true;
+  }
+  Refuse(requests::HttpStatus(FailureReason::kPromptQuarantined), FailureReason::kPromptQuarantined,
+         PromptQuarantine::kQuarantineTime);
+  return false;
+}
+
+bool ForwardTask::IsQuarantined() const {
+  return m_prompt && m_context.quarantine.IsQuarantined(m_prompt->parts, m_context.clock.Now());
+}
+
 bool ForwardTask::FindEndpoints() {
   m_context.endpoints.RemoveExpired(m_context.clock.Now());
   const std::optional<ServiceName> service = ChooseService();
@@ -201,9 +219,7 @@
   if (spec != m_configuration->services.end()) {
     ranking.max_connections = spec->second.max_connections / kConnectionDivisor;
   }
-  if (m_route->has_prompt) {
-    ranking.prompt = ParsePrompt(http::FindHeader(headers, m_context.names.prompt_parts));
-  }
+  ranking.prompt = m_prompt;
   Ranking ranked = RankEndpoints(m_context.endpoints.Usable(m_service.value()),
                                  m_context.endpoints.Draining(m_service.value()), ranking,
                                  m_context.clock.Now(), m_context.random, kMaxCandidates);
@@ -219,7 +235,6 @@
     return false;
   }
   if (ranking.prompt) {
-    m_prompt = *ranking.prompt;
     m_context.metrics
         .GetCounter(m_at_home ? "forward_prompts_total{placed=\"home\"}"
                               : "forward_prompts_total{placed=\"away\"}")
--- a/src/forward/forward_task.h
+++ b/src/forward/forward_task.h
@@ -14,6 +14,7 @@
 #include "forward/endpoint_ranking.h"
 #include "forward/event_framer.h"
 #include "forward/forward_context.h"
+#include "forward/prompt.h"
 #include "forward/response_sink.h"
 #include "router/request_decision.h"
 
@@ -64,6 +65,10 @@
   void RefuseUnknown(requests::FailureReason reason);
   /// Refuses a request whose key may have been revoked.
   void RefuseUnconfirmed();
+  /// Reads the parts of the prompt, and refuses one that crashes endpoints.
+  [[nodiscard]] bool CheckPrompt();
+  /// Whether endpoints crash under the request's prompt.
+  [[nodiscard]] bool IsQuarantined() const;
   [[nodiscard]] bool FindEndpoints();
   void ReadDeadline();
   [[nodiscard]] std::optional<ServiceName> ChooseService() const;
@@ -82,8 +87,13 @@
   /// Logs a failed attempt; `what` is the field that shows what the endpoint did.
   void LogFailedAttempt(const EndpointPtr& endpoint, std::string_view reason, const LogField& what,
                         std::string_view detail = {}) const;
-  /// Ends the current attempt as lost, and runs the next step.
-  void FailAttempt(requests::FailureReason reason, std::string_view detail);
+  /// Ends the current attempt as lost, and runs the next step after a delay.
+  void FailAttempt(requests::FailureReason reason, std::string_view detail,
+                   std::chrono::milliseconds retry_delay = std::chrono::milliseconds(0));
+  /// Reports a prompt that waited for its first event when the endpoint closed the connection.
+  /// Returns the time after which it is known whether the prompt may be repeated.
+  [[nodiscard]] std::chrono::milliseconds ReportLostPrompt();
+  void OnRetryTimer();
   void OnSilenceTimeout();
   /// Starts the timer that moves a repeatable request away from a silent endpoint.
   void RestartSilenceTimer();
@@ -147,7 +157,8 @@
   ServiceName m_service;
   SteadyTime m_deadline{};
   std::vector<EndpointPtr> m_ranked;
-  SharedPrompt m_prompt;
+  /// Empty for requests without a prompt.
+  std::optional<SharedPrompt> m_prompt;
   bool m_at_home = false;
   /// Endpoint from which other endpoints fetch the prompt's shared parts; null if the first
   /// endpoint is expected to have them.
@@ -158,6 +169,9 @@
   /// Fires at the deadline; before the admission, polls for the first configuration.
   net::Timer m_deadline_timer;
   net::Timer m_silence_timer;
+  /// Delays m_delayed_step until it is known whether the endpoint of the last attempt has crashed.
+  net::Timer m_retry_timer;
+  router::Step m_delayed_step;
 
   /// \name The current attempt
   /// @{
--- a/src/forward/forward_task_answer.cc
+++ b/src/forward/forward_task_answer.cc
@@ -255,6 +255,9 @@
     m_connection->endpoint->pace.OnGap(now - *m_last_event_at, now);
     m_context.metrics.GetDuration("forward_event_gap_seconds").Record(now - *m_last_event_at);
   }
+  if (!m_last_event_at && m_prompt) {
+    m_context.quarantine.OnAnswerBegan(m_prompt->parts, now);
+  }
   m_last_event_at = now;
   if (m_events == 0) {
     m_first_event_at = now;
@@ -379,7 +382,8 @@
     RunStep(m_decision->OnNotHandedOver(m_attempt));
     return;
   }
-  FailAttempt(FailureReason::kConnectionLost, detail);
+  const bool is_lost = end == http1::ConnectionEnd::kClosed || end == http1::ConnectionEnd::kReset;
+  FailAttempt(FailureReason::kConnectionLost, detail, is_lost ? ReportLostPrompt() : 0ms);
 }
 
 }  // namespace wagtailwind::forward
--- a/src/forward/forward_task_attempts.cc
+++ b/src/forward/forward_task_attempts.cc
@@ -30,6 +30,12 @@
 
 constexpr std::uint32_t kLowestPriority = 9;
 
+// Time in which a connection to a crashed endpoint in another zone is refused.
+constexpr std::chrono::milliseconds kCrashCheckTime = 25ms;
+
+// Longer ids of callers are cut off in reports.
+constexpr std::size_t kMaxReportedIdLength = 64;
+
 constexpr std::string_view kLastEventId = "Last-Event-ID";
 
 }  // namespace
@@ -45,6 +51,10 @@
     RefuseUnconfirmed();
     return;
   }
+  if (step.kind == router::Step::Kind::kAttempt && IsQuarantined()) {
+    Finish(m_decision->OnAbort(FailureReason::kPromptQuarantined));
+    return;
+  }
   while (step.kind == router::Step::Kind::kAttempt) {
     const auto endpoint =
         std::find_if(m_ranked.begin(), m_ranked.end(), [&step](const EndpointPtr& candidate) {
@@ -184,7 +194,8 @@
   }
 }
 
-void ForwardTask::FailAttempt(FailureReason reason, std::string_view detail) {
+void ForwardTask::FailAttempt(FailureReason reason, std::string_view detail,
+                              std::chrono::milliseconds retry_delay) {
   const EndpointPtr endpoint = m_connection->endpoint;
   Log(kAttemptFailed, {{"id", m_id},
                        {"attempt", m_attempt},
@@ -195,14 +206,34 @@
                        {"status", m_kind == AnswerKind::kNone ? 0 : m_answer_head.status},
                        {"answer_began", m_last_event_at ? 1 : 0},
                        {"events", m_events},
-                       {"parts", ToText(m_prompt.parts)},
+                       {"parts", m_prompt ? ToText(m_prompt->parts) : std::string()},
                        {"after_ms", detail::ToMilliseconds(m_context.clock.Now() - m_sent_at)}});
   CountAttempt("lost");
   endpoint->health.OnFailure(AttemptFailure::kConnectionLost, m_context.clock.Now());
   EndAttempt();
-  RunStep(m_decision->OnLost(m_attempt, reason));
+  router::Step step = m_decision->OnLost(m_attempt, reason);
+  if (retry_delay > 0ms && step.kind == router::Step::Kind::kAttempt) {
+    m_delayed_step = std::move(step);
+    m_retry_timer.Start(retry_delay);
+    return;
+  }
+  RunStep(std::move(step));
 }
 
+std::chrono::milliseconds ForwardTask::ReportLostPrompt() {
+  const bool is_answering = m_kind == AnswerKind::kEvents;
+  if (!m_prompt || !m_sent || m_last_event_at || !(is_answering || m_kind == AnswerKind::kNone)) {
+    return 0ms;
+  }
+  m_context.crashes.OnConnectionLost(m_connection->endpoint,
+                                     {.request = std::string(m_id.substr(0, kMaxReportedIdLength)),
+                                      .parts = m_prompt->parts,
+                                      .answering = is_answering});
+  return is_answering ? kCrashCheckTime : 0ms;
+}
+
+void ForwardTask::OnRetryTimer() { RunStep(std::move(m_delayed_step)); }
+
 void ForwardTask::RestartSilenceTimer() {
   // While reading is paused for a slow caller, silence says nothing about the endpoint.
   if (!m_route->IsRepeatable() || m_is_pinned || m_reading_paused) {
--- a/src/forward/forward_task_response.cc
+++ b/src/forward/forward_task_response.cc
@@ -118,9 +118,13 @@
 }
 
 void ForwardTask::FinishNotRun(FailureReason reason) {
-  const bool no_time = reason == FailureReason::kDeadlineExceeded;
-  Refuse(detail::kStatusUnavailable, reason,
-         no_time ? std::nullopt : std::optional<std::chrono::milliseconds>(kRetryWhenFull));
+  std::optional<std::chrono::milliseconds> retry_after = kRetryWhenFull;
+  if (reason == FailureReason::kDeadlineExceeded) {
+    retry_after.reset();
+  } else if (reason == FailureReason::kPromptQuarantined) {
+    retry_after = PromptQuarantine::kQuarantineTime;
+  }
+  Refuse(detail::kStatusUnavailable, reason, retry_after);
 }
 
 void ForwardTask::Close(int status, std::string_view outcome, FailureReason reason) {
@@ -128,6 +132,7 @@
   m_context.answer_memory.Release(std::exchange(m_counted_memory, 0));
   m_deadline_timer.Cancel();
   m_silence_timer.Cancel();
+  m_retry_timer.Cancel();
   const SteadyTime now = m_context.clock.Now();
   const auto duration = now - m_request.received_at;
   const bool forwarded = m_decision && m_decision->attempts() > 0;
@@ -140,8 +145,10 @@
        {"outcome", outcome},
        {"reason", requests::ToText(reason)},
        {"attempts", m_decision ? m_decision->attempts() : 0},
-       {"prompt", m_prompt.key},
-       {"prompt_tokens", m_prompt.tokens},
+       {"prompt", m_prompt ? m_prompt->key : 0},
+       {"prompt_tokens", m_prompt ? m_prompt->tokens : 0},
+       {"parts",
+        reason == FailureReason::kPromptQuarantined ? ToText(m_prompt->parts) : std::string()},
        {"fetch_from", m_cached_at ? m_cached_at->record.name.value() : std::string()},
        {"endpoint", m_last_endpoint.value()},
        {"events", m_events},
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -198,13 +198,21 @@
                 .configuration = {},
                 .traffic_share = {},
                 .retry_budgets = {},
+                .crashes = CrashDetector(
+                    loop,
+                    [this](const EndpointPtr& endpoint, std::vector<SuspectPrompt> prompts) {
+                      m_crash_reports.OnCrash(endpoint, std::move(prompts));
+                    }),
+                .quarantine = {},
                 .answer_memory = MemoryBudget(settings.memory_bytes / kAnswerMemoryDivisor)},
       m_adapter(adapter),
       m_settings(settings),
       m_on_stopped(std::move(on_stopped)),
       m_configuration_follower(m_context, adapter),
       m_endpoint_follower(m_context, adapter),
-      m_dispatcher(adapter.EndpointPrefix(), m_configuration_follower, m_endpoint_follower),
+      m_crash_reports(m_context, adapter, settings.instance, settings.key_value),
+      m_dispatcher(adapter.EndpointPrefix(), adapter.RouterPrefix(), m_configuration_follower,
+                   m_endpoint_follower, m_crash_reports),
       m_callers(std::make_unique<CallerHost>(*this)),
       m_admin(std::make_unique<AdminHost>(*this)),
       m_tick(loop, [this] { Tick(); }),
@@ -225,7 +233,8 @@
       FeedSettings{
           .name = "records",
           .address = settings.key_value,
-          .prefix = CommonPrefix(adapter.ConfigurationKey(), adapter.EndpointPrefix()),
+          .prefix = CommonPrefix(CommonPrefix(adapter.ConfigurationKey(), adapter.EndpointPrefix()),
+                                 adapter.RouterPrefix()),
           .watch_time = FractionOf(settings.bounds.key_revocation, kWatchFraction),
           .pause_after_change = FractionOf(settings.bounds.endpoint_drain, kEndpointPauseFraction),
           .paused_prefix = std::string(adapter.EndpointPrefix())},
@@ -243,6 +252,7 @@
 void Forwarder::Tick() {
   m_context.pool.CloseExpired();
   m_context.endpoints.RemoveExpired(m_context.clock.Now());
+  m_crash_reports.Tick();
   UpdateGauges();
   const bool ready = IsReady();
   if (ready != std::exchange(m_was_ready, ready)) {
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -11,6 +11,7 @@
 #include "core/random_source.h"
 #include "forward/caller_session.h"
 #include "forward/configuration_follower.h"
+#include "forward/crash_reports.h"
 #include "forward/deployment_adapter.h"
 #include "forward/endpoint_follower.h"
 #include "forward/forward_context.h"
@@ -67,6 +68,7 @@
   std::function<void()> m_on_stopped;
   ConfigurationFollower m_configuration_follower;
   EndpointFollower m_endpoint_follower;
+  CrashReports m_crash_reports;
   RecordDispatcher m_dispatcher;
   std::unique_ptr<CallerHost> m_callers;
   std::unique_ptr<AdminHost> m_admin;
--- a/src/forward/log_events.h
+++ b/src/forward/log_events.h
@@ -28,6 +28,12 @@
 inline constexpr LogEvent kReadinessChanged{2227, LogLevel::kInfo, "readiness_changed"};
 inline constexpr LogEvent kAcceptFailed{2228, LogLevel::kWarn, "accept_failed"};
 inline constexpr LogEvent kLinesDropped{2229, LogLevel::kWarn, "log_lines_dropped"};
+inline constexpr LogEvent kEndpointCrashed{2230, LogLevel::kWarn, "endpoint_crashed"};
+inline constexpr LogEvent kPromptQuarantined{2231, LogLevel::kWarn, "prompt_quarantined"};
+inline constexpr LogEvent kPromptReleased{2232, LogLevel::kInfo, "prompt_released"};
+inline constexpr LogEvent kCrashReportIgnored{2233, LogLevel::kWarn, "crash_report_ignored"};
+inline constexpr LogEvent kRecordWriteFailed{2234, LogLevel::kWarn, "record_write_failed"};
+inline constexpr LogEvent kRecordDropped{2235, LogLevel::kWarn, "record_dropped"};
 
 }  // namespace wagtailwind::forward
 
--- a/src/forward/record_dispatcher.cc
+++ b/src/forward/record_dispatcher.cc
@@ -7,7 +7,11 @@
   Parts parts;
   for (const platform::KeyValueItem& item : items) {
     const bool is_endpoint = item.key.starts_with(m_endpoint_prefix);
-    (is_endpoint ? parts.endpoints : parts.configuration).push_back(item);
+    const bool is_router = item.key.starts_with(m_router_prefix);
+    (is_endpoint ? parts.endpoints
+     : is_router ? parts.routers
+                 : parts.configuration)
+        .push_back(item);
   }
   return parts;
 }
@@ -16,6 +20,7 @@
                                   BootTime valid_as_of) {
   const Parts parts = Divide(items);
   m_endpoints.OnSnapshot(parts.endpoints, valid_as_of);
+  m_routers.OnSnapshot(parts.routers, valid_as_of);
   m_configuration.OnSnapshot(parts.configuration, valid_as_of);
 }
 
@@ -25,6 +30,9 @@
   if (!parts.endpoints.empty()) {
     m_endpoints.OnChanges(parts.endpoints, valid_as_of);
   }
+  if (!parts.routers.empty()) {
+    m_routers.OnChanges(parts.routers, valid_as_of);
+  }
   // Also without changes: the watch confirms that the configuration is the newest.
   m_configuration.OnChanges(parts.configuration, valid_as_of);
 }
@@ -32,11 +40,13 @@
 void RecordDispatcher::OnFeedLost() {
   m_configuration.OnFeedLost();
   m_endpoints.OnFeedLost();
+  m_routers.OnFeedLost();
 }
 
 void RecordDispatcher::OnFeedRegained(SteadyTime last_failed) {
   m_configuration.OnFeedRegained(last_failed);
   m_endpoints.OnFeedRegained(last_failed);
+  m_routers.OnFeedRegained(last_failed);
 }
 
 }  // namespace wagtailwind::forward
--- /dev/null
+++ b/src/forward/record_writer.h
@@ -0,0 +1,89 @@
+#ifndef WAGTAILWIND_FORWARD_RECORD_WRITER_H_
+#define WAGTAILWIND_FORWARD_RECORD_WRITER_H_
+
+#include <chrono>
+#include <cstddef>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/metrics.h"
+#include "core/random_source.h"
+#include "http1/client_connection.h"
+#include "net/event_loop.h"
+#include "platform/key_value_codec.h"
+
+namespace wagtailwind::forward {
+
+/// \brief Service and lifetime of the records that a RecordWriter writes.
+struct RecordWriterSettings {
+  /// `ip:port` of the key-value service.
+  std::string address;
+  /// Time after which the service removes a record. The service accepts up to ten minutes.
+  std::chrono::milliseconds lifetime{};
+};
+
+/// \brief Writes records that expire, in order, and repeats failed writes until the service accepts
+/// them. Records that are written within a short time expire together.
+///
+/// A write may take effect although it appeared to fail, so a repeated write must do no harm.
+class RecordWriter final : private http1::ResponseObserver {
+ public:
+  /// \brief All references must outlive the object.
+  RecordWriter(net::EventLoop& loop, const Clock& clock, RandomSource& random,
+               const platform::KeyValueCodec& codec, MetricsRegistry& metrics,
+               RecordWriterSettings settings);
+  ~RecordWriter() override;
+  RecordWriter(const RecordWriter&) = delete;
+  RecordWriter& operator=(const RecordWriter&) = delete;
+
+  /// \brief Writes a record. If too many wait, the oldest one is dropped with a log line.
+  void Put(std::string key, std::string value);
+
+  /// \brief Returns whether a write has not been accepted yet.
+  [[nodiscard]] bool IsBusy() const noexcept { return !m_queue.empty(); }
+
+ private:
+  enum class Call : std::uint8_t { kLease, kPut };
+
+  void SendCall();
+  void FinishCall();
+  void OnCallFailed(std::string_view reason);
+  void OnTimer();
+  void CountCall(std::string_view result);
+  [[nodiscard]] bool HasLease() const;
+
+  [[nodiscard]] bool OnResponseHead(http1::MessageHead head) override;
+  void OnResponseBody(std::string_view part) override;
+  void OnResponseEnd(bool reusable) override;
+  void OnConnectionEnd(http1::ConnectionEnd end, std::string_view detail) override;
+
+  net::EventLoop& m_loop;
+  const Clock& m_clock;
+  RandomSource& m_random;
+  const platform::KeyValueCodec& m_codec;
+  MetricsRegistry& m_metrics;
+  const RecordWriterSettings m_settings;
+
+  std::unique_ptr<http1::ClientConnection> m_connection;
+  net::Timer m_timer;
+  std::deque<platform::KeyValueWrite> m_queue;
+  /// Number of records at the front of the queue that the current call writes.
+  std::size_t m_in_call = 0;
+  bool m_call_in_progress = false;
+  Call m_call = Call::kLease;
+  int m_status = 0;
+  std::string m_body;
+  std::optional<platform::LeaseId> m_lease;
+  /// Time at which the request for the lease was sent.
+  BootTime m_lease_asked_at{};
+  int m_failures = 0;
+};
+
+}  // namespace wagtailwind::forward
+
+#endif  // WAGTAILWIND_FORWARD_RECORD_WRITER_H_
--- a/src/platform/key_value_codec.h
+++ b/src/platform/key_value_codec.h
@@ -2,6 +2,7 @@
 #define WAGTAILWIND_PLATFORM_KEY_VALUE_CODEC_H_
 
 #include <chrono>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -45,8 +46,14 @@
   Revision revision = 0;
 };
 
-/// \brief Encodes read requests to the key-value service and decodes the responses, for callers
-/// that run their own event loop.
+/// \brief A record to write.
+struct KeyValueWrite {
+  std::string key;
+  std::string value;
+};
+
+/// \brief Encodes requests to the key-value service and decodes the responses, for callers that
+/// run their own event loop.
 class KeyValueCodec {
  public:
   virtual ~KeyValueCodec() = default;
@@ -60,6 +67,18 @@
   [[nodiscard]] virtual std::string WatchRequest(std::string_view prefix, Revision after,
                                                  std::chrono::milliseconds wait) const = 0;
 
+  /// \brief Returns a request for a lease that ends after `lifetime` unless it is renewed.
+  [[nodiscard]] virtual std::string LeaseRequest(std::chrono::milliseconds lifetime) const = 0;
+
+  /// \brief Returns a request that writes records, all or none, which are removed when the lease
+  /// ends. The service answers with status 404 if the lease has ended.
+  [[nodiscard]] virtual std::string PutRequest(std::span<const KeyValueWrite> writes,
+                                               LeaseId lease) const = 0;
+
+  /// \brief Decodes the body of a successful response to a request for a lease. Throws
+  /// MalformedKeyValueAnswer.
+  [[nodiscard]] virtual LeaseId DecodeLease(std::string_view body) const = 0;
+
   /// \brief Decodes the body of a successful range response. Throws MalformedKeyValueAnswer.
   [[nodiscard]] virtual RangePage DecodeRange(std::string_view body) const = 0;
 
--- a/src/requests/outcome.cc
+++ b/src/requests/outcome.cc
@@ -45,6 +45,7 @@
     ReasonEntry{FailureReason::kUnknownRoute, "unknown_route", 404},
     ReasonEntry{FailureReason::kUnknownApiKey, "unknown_api_key", 401},
     ReasonEntry{FailureReason::kApiKeyNotConfirmed, "api_key_not_confirmed", 503},
+    ReasonEntry{FailureReason::kPromptQuarantined, "prompt_quarantined", 503},
 };
 
 constexpr const ReasonEntry& Find(FailureReason reason) noexcept {
--- a/src/requests/outcome.h
+++ b/src/requests/outcome.h
@@ -52,6 +52,7 @@
   kUnknownRoute,
   kUnknownApiKey,
   kApiKeyNotConfirmed,
+  kPromptQuarantined,
 };
 
 /// \brief Stable snake-case name of a reason, used in JSON error bodies.
--- a/tests/soak/deployment_wire.cc
+++ b/tests/soak/deployment_wire.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 #include <set>
+#include <stdexcept>
 
 #include "absl/strings/escaping.h"
 
@@ -59,9 +60,28 @@
 }
 
 StoreCall DeploymentStoreWire::ParseCall(const std::string& target) const {
-  return testing::ParseStoreCall(
-      target,
-      {.watch_path = "/api/kv-watch", .prefix = "Prefix", .after = "SinceRev", .wait = "WaitMs"});
+  return testing::ParseStoreCall(target, {.watch_path = "/api/kv-watch",
+                                          .lease_path = "/api/kv-lease",
+                                          .put_path = "/api/kv-txn",
+                                          .prefix = "Prefix",
+                                          .after = "SinceRev",
+                                          .wait = "WaitMs"});
+}
+
+std::vector<platform::KeyValueWrite> DeploymentStoreWire::ParsePuts(const std::string& body) const {
+  std::vector<platform::KeyValueWrite> writes;
+  for (const json& put : json::parse(body).at("Puts")) {
+    platform::KeyValueWrite& write = writes.emplace_back();
+    write.key = put.at("Key").get<std::string>();
+    if (!absl::Base64Unescape(put.at("Value").get<std::string>(), &write.value)) {
+      throw std::invalid_argument("the value of " + write.key + " is not base64");
+    }
+  }
+  return writes;
+}
+
+std::string DeploymentStoreWire::EncodeLease(platform::LeaseId lease) const {
+  return json{{"Lease", lease}, {"TtlMs", 0}}.dump();
 }
 
 std::string DeploymentStoreWire::EncodePage(StoreCall::Kind kind,
--- a/tests/soak/deployment_wire.h
+++ b/tests/soak/deployment_wire.h
@@ -29,6 +29,9 @@
 class DeploymentStoreWire final : public testing::StoreWire {
  public:
   [[nodiscard]] testing::StoreCall ParseCall(const std::string& target) const override;
+  [[nodiscard]] std::vector<platform::KeyValueWrite> ParsePuts(
+      const std::string& body) const override;
+  [[nodiscard]] std::string EncodeLease(platform::LeaseId lease) const override;
   [[nodiscard]] std::string EncodePage(testing::StoreCall::Kind kind,
                                        const std::vector<platform::KeyValueItem>& items,
                                        platform::Revision revision, bool has_more) const override;
--- a/tests/support/fake_store.cc
+++ b/tests/support/fake_store.cc
@@ -11,6 +11,7 @@
 
 constexpr int kOk = 200;
 constexpr int kGone = 410;
+constexpr int kNotFound = 404;
 
 }  // namespace
 
@@ -19,6 +20,10 @@
   const std::string_view query = target.substr(question + 1);
   StoreCall call;
   call.path = std::string(target.substr(0, question));
+  if (call.path == names.lease_path || call.path == names.put_path) {
+    call.kind = call.path == names.lease_path ? StoreCall::Kind::kLease : StoreCall::Kind::kPut;
+    return call;
+  }
   call.kind = call.path == names.watch_path ? StoreCall::Kind::kWatch : StoreCall::Kind::kRange;
   call.prefix = http::QueryParameter(query, names.prefix);
   if (call.kind == StoreCall::Kind::kRange) {
@@ -49,6 +54,16 @@
   AnswerWatches();
 }
 
+std::vector<std::string> FakeStore::Keys(std::string_view prefix) const {
+  std::vector<std::string> keys;
+  for (const auto& [key, item] : m_items) {
+    if (key.starts_with(prefix)) {
+      keys.push_back(key);
+    }
+  }
+  return keys;
+}
+
 std::vector<platform::KeyValueItem> FakeStore::Changes(const StoreCall& call) const {
   std::vector<platform::KeyValueItem> changes;
   for (const platform::KeyValueItem& change : m_history) {
@@ -107,6 +122,22 @@
     }
     return;
   }
+  if (call.kind == StoreCall::Kind::kLease) {
+    m_has_lease = true;
+    Answer(connection, HttpText(kOk, "", m_wire.EncodeLease(++m_last_lease)));
+    return;
+  }
+  if (call.kind == StoreCall::Kind::kPut) {
+    if (!m_has_lease) {
+      Answer(connection, HttpText(kNotFound, "", ""));
+      return;
+    }
+    for (const platform::KeyValueWrite& write : m_wire.ParsePuts(connection.body)) {
+      Put(write.key, write.value);
+    }
+    Answer(connection, HttpText(kOk, "", "{}"));
+    return;
+  }
   if (call.kind == StoreCall::Kind::kRange) {
     std::vector<platform::KeyValueItem> items;
     for (const auto& [key, item] : m_items) {
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -15,9 +15,9 @@
 
 namespace wagtailwind::testing {
 
-/// \brief A parsed range or watch request to the key-value service.
+/// \brief A parsed request to the key-value service.
 struct StoreCall {
-  enum class Kind : std::uint8_t { kRange, kWatch };
+  enum class Kind : std::uint8_t { kRange, kWatch, kLease, kPut };
   Kind kind = Kind::kRange;
   std::string path;
   std::string prefix;
@@ -31,12 +31,14 @@
 /// \brief Path and query parameter names of the requests of a protocol.
 struct StoreCallNames {
   std::string_view watch_path;
+  std::string_view lease_path;
+  std::string_view put_path;
   std::string_view prefix;
   std::string_view after;
   std::string_view wait;
 };
 
-/// \brief Parses a request target. Every path other than `names.watch_path` is a range request.
+/// \brief Parses a request target. Every path that is not in `names` is a range request.
 [[nodiscard]] StoreCall ParseStoreCall(std::string_view target, const StoreCallNames& names);
 
 /// \brief Server-side counterpart of a KeyValueCodec.
@@ -47,6 +49,13 @@
   /// \brief Parses the target of a request.
   [[nodiscard]] virtual StoreCall ParseCall(const std::string& target) const = 0;
 
+  /// \brief Parses the body of a request that writes records.
+  [[nodiscard]] virtual std::vector<platform::KeyValueWrite> ParsePuts(
+      const std::string& body) const = 0;
+
+  /// \brief Encodes the body of a successful response to a request for a lease.
+  [[nodiscard]] virtual std::string EncodeLease(platform::LeaseId lease) const = 0;
+
   /// \brief Encodes the body of a successful response.
   [[nodiscard]] virtual std::string EncodePage(StoreCall::Kind kind,
                                                const std::vector<platform::KeyValueItem>& items,
@@ -103,6 +112,12 @@
   /// \brief Delays each answer.
   void SetDelay(std::chrono::milliseconds delay) { m_delay = delay; }
 
+  /// \brief Answers writes with the status for a lease that has ended, until the next lease.
+  void EndLeases() { m_has_lease = false; }
+
+  /// \brief Returns the current keys that begin with a prefix.
+  [[nodiscard]] std::vector<std::string> Keys(std::string_view prefix) const;
+
   [[nodiscard]] std::string Address() const { return m_server.Address(); }
 
   /// Number of calls by path.
@@ -144,6 +159,8 @@
   platform::Revision m_compacted = 0;
   std::chrono::milliseconds m_delay{0};
   int m_fault = 0;
+  platform::LeaseId m_last_lease = 0;
+  bool m_has_lease = false;
 };
 
 }  // namespace wagtailwind::testing
--- a/tests/support/forwarder_fixture.cc
+++ b/tests/support/forwarder_fixture.cc
@@ -96,6 +96,39 @@
          "&wait=" + std::to_string(wait.count()) + " HTTP/1.1\r\nHost: s\r\n\r\n";
 }
 
+std::string FakeDeployment::LeaseRequest(std::chrono::milliseconds lifetime) const {
+  return "POST /lease HTTP/1.1\r\nHost: s\r\nLifetime: " + std::to_string(lifetime.count()) +
+         "\r\n\r\n";
+}
+
+std::string FakeDeployment::PutRequest(std::span<const platform::KeyValueWrite> writes,
+                                       platform::LeaseId lease) const {
+  std::string body;
+  for (const platform::KeyValueWrite& write : writes) {
+    body += write.key + " " + write.value + "\n";
+  }
+  return "POST /put HTTP/1.1\r\nHost: s\r\nLease: " + std::to_string(lease) +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+platform::LeaseId FakeDeployment::DecodeLease(std::string_view body) const {
+  return std::stoull(std::string(body));
+}
+
+std::vector<platform::KeyValueWrite> FakeDeployment::ParsePuts(const std::string& body) const {
+  std::istringstream lines(body);
+  std::vector<platform::KeyValueWrite> writes;
+  platform::KeyValueWrite write;
+  while (lines >> write.key && std::getline(lines >> std::ws, write.value)) {
+    writes.push_back(write);
+  }
+  return writes;
+}
+
+std::string FakeDeployment::EncodeLease(platform::LeaseId lease) const {
+  return std::to_string(lease);
+}
+
 platform::RangePage FakeDeployment::DecodeRange(std::string_view body) const {
   platform::WatchPage page = DecodePage(body);
   const bool has_more = body.substr(0, body.find('\n')).ends_with(" more");
@@ -107,8 +140,12 @@
 }
 
 StoreCall FakeDeployment::ParseCall(const std::string& target) const {
-  return ParseStoreCall(
-      target, {.watch_path = "/watch", .prefix = "prefix", .after = "after", .wait = "wait"});
+  return ParseStoreCall(target, {.watch_path = "/watch",
+                                 .lease_path = "/lease",
+                                 .put_path = "/put",
+                                 .prefix = "prefix",
+                                 .after = "after",
+                                 .wait = "wait"});
 }
 
 std::string FakeDeployment::EncodePage(StoreCall::Kind /*kind*/,
--- a/tests/support/forwarder_fixture.h
+++ b/tests/support/forwarder_fixture.h
@@ -6,6 +6,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -52,6 +53,7 @@
     return "configuration";
   }
   [[nodiscard]] std::string_view EndpointPrefix() const noexcept override { return "endpoint/"; }
+  [[nodiscard]] std::string_view RouterPrefix() const noexcept override { return "router/"; }
 
   /// \brief Returns the entry of `configurations` with the name `value`.
   [[nodiscard]] std::shared_ptr<const forward::RoutingConfiguration> DecodeConfiguration(
@@ -65,10 +67,18 @@
                                          std::string_view after_key) const override;
   [[nodiscard]] std::string WatchRequest(std::string_view prefix, platform::Revision after,
                                          std::chrono::milliseconds wait) const override;
+  [[nodiscard]] std::string LeaseRequest(std::chrono::milliseconds lifetime) const override;
+  /// \brief Writes each record as a line `key value`.
+  [[nodiscard]] std::string PutRequest(std::span<const platform::KeyValueWrite> writes,
+                                       platform::LeaseId lease) const override;
+  [[nodiscard]] platform::LeaseId DecodeLease(std::string_view body) const override;
   [[nodiscard]] platform::RangePage DecodeRange(std::string_view body) const override;
   [[nodiscard]] platform::WatchPage DecodeWatch(std::string_view body) const override;
 
   [[nodiscard]] StoreCall ParseCall(const std::string& target) const override;
+  [[nodiscard]] std::vector<platform::KeyValueWrite> ParsePuts(
+      const std::string& body) const override;
+  [[nodiscard]] std::string EncodeLease(platform::LeaseId lease) const override;
   [[nodiscard]] std::string EncodePage(StoreCall::Kind kind,
                                        const std::vector<platform::KeyValueItem>& items,
                                        platform::Revision revision, bool has_more) const override;
--- a/tests/unit/forward_record_dispatcher_test.cc
+++ b/tests/unit/forward_record_dispatcher_test.cc
@@ -33,14 +33,16 @@
 
 }  // namespace
 
-// Guards against an endpoint that is taken for the configuration or the reverse, and against a list
+// Guards against a record that reaches the wrong follower, and against a list
 // of endpoints that is emptied by a read which contains only the configuration.
 Test(record_dispatcher, gives_each_follower_its_records) {
   Recorder configuration;
   Recorder endpoints;
-  forward::RecordDispatcher dispatcher("endpoint/", configuration, endpoints);
-  dispatcher.OnSnapshot({Item("configuration"), Item("endpoint/a"), Item("other")}, {});
-  dispatcher.OnChanges({Item("endpoint/b")}, {});
+  Recorder routers;
+  forward::RecordDispatcher dispatcher("endpoint/", "router/", configuration, endpoints, routers);
+  dispatcher.OnSnapshot(
+      {Item("configuration"), Item("endpoint/a"), Item("other"), Item("router/1")}, {});
+  dispatcher.OnChanges({Item("endpoint/b"), Item("router/2")}, {});
   dispatcher.OnChanges({Item("configuration")}, {});
   dispatcher.OnFeedLost();
   dispatcher.OnFeedRegained({});
@@ -49,4 +51,6 @@
                                             "changes configuration", "lost", "regained"}));
   cr_assert(endpoints.events ==
             Events({"snapshot endpoint/a", "changes endpoint/b", "lost", "regained"}));
+  cr_assert(routers.events ==
+            Events({"snapshot router/1", "changes router/2", "lost", "regained"}));
 }
--- a/tests/unit/platform_record_decoder_test.cc
+++ b/tests/unit/platform_record_decoder_test.cc
@@ -99,3 +99,19 @@
       platform::MalformedKeyValueAnswer);
   cr_assert_neq(codec.RangeRequest("a/", "a/b c").find("SinceRev=a/b%20c"), std::string::npos);
 }
+
+// Guards against writes that the store would take for others, or that end with no lease.
+Test(platform_records, encodes_writes_to_the_store) {
+  const adapter::StoreCodec codec;
+  const std::string lease = codec.LeaseRequest(600s);
+  cr_assert(lease.starts_with("POST /api/kv-lease HTTP/1.1\r\n"));
+  cr_assert(lease.ends_with("\r\nContent-Length: 16\r\n\r\n{\"TtlMs\":600000}"), "%s",
+            lease.c_str());
+  cr_assert_eq(codec.DecodeLease(R"({"Lease":77120,"TtlMs":600000})"), 77'120);
+  const std::vector<platform::KeyValueWrite> writes = {{.key = "wagtailwind/a", .value = "x"}};
+  const std::string put = codec.PutRequest(writes, 77'120);
+  cr_assert(put.starts_with("POST /api/kv-txn HTTP/1.1\r\n"));
+  cr_assert(put.ends_with(
+      R"({"IfRev":[],"Puts":[{"Key":"wagtailwind/a","Lease":77120,"Value":"eA=="}],"Remove":[]})"));
+  cr_assert_throw((void)codec.DecodeLease("{}"), platform::MalformedKeyValueAnswer);
+}
