Take a stream that ends with its connection inside an event as broken off

What callers saw: a stream without length or chunks whose endpoint broke off inside an event, or crashed before the first one, ended as if it were whole. Cause: the end of the connection was the end of the answer in all cases; the rest of the event was passed on. Class of fault: an incomplete answer that looks complete. Change: such a stream counts as lost if it ends inside an event or has none, and is resumed or broken off like any other. A stream with chunks or a length, whose end is known, stays as it was. Elsewhere: the agents take the end that libcurl reports, so an engine's stream without length or chunks that ends early would look whole there. Engines of the project's own interface send chunks; not changed here.

--- a/src/forward/event_framer.cc
+++ b/src/forward/event_framer.cc
@@ -63,6 +63,10 @@
   return m_partial.size() <= kMaxEventBytes || IsMutantEnabled("forwarder_keeps_endless_events");
 }
 
+bool EventFramer::IsInsideEvent() const noexcept {
+  return HasField(std::string_view(m_partial).substr(m_comment_bytes));
+}
+
 std::optional<std::uint64_t> EventId(std::string_view event) noexcept {
   constexpr std::string_view kField = "id:";
   while (!event.empty()) {
--- a/src/forward/event_framer.h
+++ b/src/forward/event_framer.h
@@ -25,6 +25,9 @@
   /// \brief Returns the bytes of the last, incomplete event.
   [[nodiscard]] std::string_view Rest() const noexcept { return m_partial; }
 
+  /// \brief Returns whether the stream has begun an event that is incomplete.
+  [[nodiscard]] bool IsInsideEvent() const noexcept;
+
   /// \brief Discards the incomplete event.
   void Reset() noexcept {
     m_partial.clear();
--- a/src/forward/forward_task_answer.cc
+++ b/src/forward/forward_task_answer.cc
@@ -286,7 +286,17 @@
   }
 }
 
+bool ForwardTask::IsBrokenStream() const noexcept {
+  const bool has_end = m_answer_head.chunked || m_answer_head.content_length;
+  return m_kind == AnswerKind::kEvents && !has_end && (m_events == 0 || m_framer.IsInsideEvent());
+}
+
 void ForwardTask::OnResponseEnd(bool reusable) {
+  if (IsBrokenStream() && !IsMutantEnabled("forwarder_takes_cut_answer_as_whole")) {
+    OnConnectionEnd(http1::ConnectionEnd::kClosed,
+                    "stream ended inside an event or before the first one");
+    return;
+  }
   m_silence_timer.Cancel();
   EndpointConnection connection = std::move(*m_connection);
   m_connection.reset();
