--- a/src/forward/endpoint.h
+++ b/src/forward/endpoint.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,8 @@
   LoadEstimate load;
   EndpointHealth health;
   EventPace pace;
+  /// Requests a second that the endpoint takes from all routers together, as of its last answer.
+  std::optional<double> request_limit;
   /// Open connections from this router to the endpoint.
   std::uint32_t connections = 0;
   /// The endpoint refused a request because it was full; it gets no new request before this time.
--- a/src/forward/forward_task_attempts.cc
+++ b/src/forward/forward_task_attempts.cc
@@ -108,6 +108,7 @@
                         {"load", endpoint->load.Requests(now)},
                         {"mean_load", m_mean_load},
                         {"at_home", m_at_home ? 1 : 0},
+                        {"limit", endpoint->request_limit.value_or(-1)},
                         {"reused", m_connection->reused ? 1 : 0}});
   m_connection->connection->Send(RequestText(endpoint), m_request.head.method == "HEAD", *this);
   RestartSilenceTimer();
--- a/src/forward/log_events.h
+++ b/src/forward/log_events.h
@@ -34,6 +34,7 @@
 inline constexpr LogEvent kCrashReportIgnored{2233, LogLevel::kWarn, "crash_report_ignored"};
 inline constexpr LogEvent kRecordWriteFailed{2234, LogLevel::kWarn, "record_write_failed"};
 inline constexpr LogEvent kRecordDropped{2235, LogLevel::kWarn, "record_dropped"};
+inline constexpr LogEvent kEndpointLimitChanged{2236, LogLevel::kInfo, "endpoint_limit_changed"};
 
 }  // namespace wagtailwind::forward
 
--- a/src/forward/wire_names.h
+++ b/src/forward/wire_names.h
@@ -25,6 +25,9 @@
   std::string signature;
   /// Running requests, waiting requests and slots of the endpoint, separated by commas.
   std::string load;
+  /// Requests a second that the endpoint takes from all routers together; absent if it has no
+  /// limit.
+  std::string request_limit;
   /// Priority of the request at the endpoint.
   std::string priority;
   /// Parts of the prompt, as `id:tokens`, separated by commas.
--- a/tests/support/forwarder_fixture.cc
+++ b/tests/support/forwarder_fixture.cc
@@ -51,6 +51,7 @@
   m_names.not_run = "Refused";
   m_names.signature = "Signed";
   m_names.load = "Load";
+  m_names.request_limit = "Limit";
   m_names.priority = "Urgency";
   m_names.prompt_parts = "Parts";
   m_names.fetch_from = "Fetch";
