Keep the requests to an endpoint within the limit that it names, over all routers

Cause: routers passed the header on and did not heed it; and no router knows what the others send. Class of fault: a limit for a whole fleet that each member would have to keep alone. Change: routers write a record for themselves, and divide each limit L among the 2 L + 2 of them that rank first for the endpoint, those of its zone before others; each keeps its share with a token bucket. What an answer says of a limit is shared by a record; without a share, one router at a time may check in turn. Costly requests use the tokens first, since a limit counts requests. When a limit ends, old load reports of the pool are discarded. One writer per router. Why it works: a router that has no share sends nothing, and those that have one can exceed the sum by no more than one saved request each.

--- a/src/forward/crash_reports.cc
+++ b/src/forward/crash_reports.cc
@@ -34,12 +34,10 @@
 }  // namespace
 
 CrashReports::CrashReports(ForwardContext& context, const DeploymentAdapter& adapter,
-                           InstanceName router, const std::string& key_value)
+                           RecordWriter& writer)
     : m_context(context),
       m_prefix(std::string(adapter.RouterPrefix()) + std::string(kFolder)),
-      m_router(std::move(router)),
-      m_writer(context.loop, context.clock, context.random, adapter.Codec(), context.metrics,
-               {.address = key_value, .lifetime = PromptQuarantine::kQuarantineTime}),
+      m_writer(writer),
       m_permits(kMaxPermits) {}
 
 CrashReports::~CrashReports() = default;
@@ -99,10 +97,10 @@
     return;
   }
   if (!TakePermit()) {
-    Log(kRecordDropped, {{"key", CrashReportKey(report, m_router)}, {"waiting", 0}});
+    Log(kRecordDropped, {{"key", CrashReportKey(report, m_context.self)}, {"waiting", 0}});
     return;
   }
-  m_writer.Put(m_prefix + CrashReportKey(report, m_router), EncodeCrashReport(report));
+  m_writer.Put(m_prefix + CrashReportKey(report, m_context.self), EncodeCrashReport(report));
 }
 
 bool CrashReports::TakePermit() {
--- a/src/forward/crash_reports.h
+++ b/src/forward/crash_reports.h
@@ -19,9 +19,8 @@
 /// key-value service, and adds the reports of all routers to the quarantine.
 class CrashReports final : public FeedListener {
  public:
-  /// \brief `key_value` is the `ip:port` of the service. All references must outlive the object.
-  CrashReports(ForwardContext& context, const DeploymentAdapter& adapter, InstanceName router,
-               const std::string& key_value);
+  /// \brief All references must outlive the object.
+  CrashReports(ForwardContext& context, const DeploymentAdapter& adapter, RecordWriter& writer);
   ~CrashReports() override;
 
   /// \brief An endpoint has crashed while these prompts of this router waited for their first
@@ -50,8 +49,7 @@
 
   ForwardContext& m_context;
   const std::string m_prefix;
-  const InstanceName m_router;
-  RecordWriter m_writer;
+  RecordWriter& m_writer;
   std::list<Pending> m_pending;
   /// The quarantines that have been logged.
   std::vector<QuarantinedParts> m_logged;
--- a/src/forward/endpoint.h
+++ b/src/forward/endpoint.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,6 +11,7 @@
 #include "forward/endpoint_health.h"
 #include "forward/event_pace.h"
 #include "forward/load_estimate.h"
+#include "forward/request_limit.h"
 
 namespace wagtailwind::forward {
 
@@ -41,8 +41,8 @@
   LoadEstimate load;
   EndpointHealth health;
   EventPace pace;
-  /// Requests a second that the endpoint takes from all routers together, as of its last answer.
-  std::optional<double> request_limit;
+  /// Limit of requests that the endpoint named in its last answer.
+  RequestQuota quota;
   /// Open connections from this router to the endpoint.
   std::uint32_t connections = 0;
   /// The endpoint refused a request because it was full; it gets no new request before this time.
--- a/src/forward/endpoint_ranking.cc
+++ b/src/forward/endpoint_ranking.cc
@@ -167,36 +167,82 @@
   return (load + kJitter * random.NextFraction()) / slots + zone;
 }
 
+/// The endpoints of a pool that can serve a request.
+struct Candidates {
+  std::vector<Candidate> endpoints;
+  /// Endpoints that get no request now because of their request limits.
+  std::vector<Candidate> at_limit;
+  /// Shortest time until one of these may get a request.
+  std::optional<std::chrono::nanoseconds> limit_wait;
+  double mean_load = 0;
+  double total_failure_rate = 0;
+  /// Start time of the oldest endpoint.
+  WallTime oldest = WallTime::max();
+};
+
+Candidates FindCandidates(std::span<const EndpointPtr> endpoints, const RankingRequest& request,
+                          double typical_others, SteadyTime now) {
+  Candidates found;
+  std::vector<Candidate> reserved;
+  double total_load = 0;
+  for (const EndpointPtr& endpoint : endpoints) {
+    if (!CanServe(*endpoint, request)) {
+      continue;
+    }
+    const Candidate candidate{.endpoint = &endpoint,
+                              .load = endpoint->load.Requests(now, typical_others)};
+    total_load += candidate.load;
+    found.total_failure_rate += endpoint->health.FailureRate(now);
+    found.oldest = std::min(found.oldest, endpoint->record.started_at);
+    const RequestQuota& quota = endpoint->quota;
+    if (!quota.IsAvailable(now)) {
+      const auto wait = quota.WaitTime(now);
+      found.limit_wait = std::min(found.limit_wait.value_or(wait), wait);
+      found.at_limit.push_back(candidate);
+    } else if (request.is_costly || quota.IsIdle(now)) {
+      found.endpoints.push_back(candidate);
+    } else {
+      reserved.push_back(candidate);
+    }
+  }
+  // What is reserved for costly requests is better used than left unused.
+  auto& rest = found.endpoints.empty() ? found.endpoints : found.at_limit;
+  rest.insert(rest.end(), reserved.begin(), reserved.end());
+  // The limited endpoints hold few requests. For costly ones, which can use them, the mean includes
+  // them, so that they come first when the others are loaded.
+  std::size_t counted = found.endpoints.size();
+  if (request.is_costly) {
+    counted += found.at_limit.size();
+  } else {
+    for (const Candidate& limited : found.at_limit) {
+      total_load -= limited.load;
+    }
+  }
+  found.mean_load = total_load / static_cast<double>(std::max<std::size_t>(counted, 1));
+  return found;
+}
+
 }  // namespace
 
 Ranking RankEndpoints(std::span<const EndpointPtr> endpoints, std::span<const EndpointPtr> draining,
                       const RankingRequest& request, SteadyTime now, RandomSource& random,
                       std::size_t limit) {
   const PoolLoad pool = MeasurePool(endpoints);
-  std::vector<Candidate> candidates;
-  candidates.reserve(endpoints.size());
-  double total_load = 0;
-  double total_failure_rate = 0;
-  WallTime oldest = WallTime::max();
-  for (const EndpointPtr& endpoint : endpoints) {
-    if (CanServe(*endpoint, request)) {
-      const double load = endpoint->load.Requests(now, pool.typical_others);
-      candidates.push_back({.endpoint = &endpoint, .load = load});
-      oldest = std::min(oldest, endpoint->record.started_at);
-      total_load += load;
-      total_failure_rate += endpoint->health.FailureRate(now);
-    }
-  }
+  const Candidates found = FindCandidates(endpoints, request, pool.typical_others, now);
+  const std::vector<Candidate>& candidates = found.endpoints;
+  const WallTime oldest = found.oldest;
+  Ranking ranking;
+  ranking.limit_wait = found.limit_wait;
   if (candidates.empty()) {
-    return {};
+    return ranking;
   }
   const auto count = static_cast<double>(candidates.size());
   const auto new_count = static_cast<std::size_t>(std::count_if(
       candidates.begin(), candidates.end(),
       [oldest](const Candidate& candidate) { return IsNew(**candidate.endpoint, oldest); }));
   const double min_new_weight = MinNewEndpointWeight(candidates.size() - new_count, new_count);
-  const double mean = total_load / count;
-  const double mean_failure_rate = total_failure_rate / count;
+  const double mean = found.mean_load;
+  const double mean_failure_rate = found.total_failure_rate / count;
   const bool is_long = request.prompt && request.prompt->tokens >= kLongPromptTokens;
   const LoadBound& limits = is_long ? kLongPromptBound : kShortPromptBound;
   const double bound = limits.factor * mean + limits.slack;
@@ -239,7 +285,6 @@
                                                      : left.cost < right.cost;
                     });
   const EndpointPtr& first = *scored.front().endpoint;
-  Ranking ranking;
   ranking.at_home = preferred.Is(first);
   ranking.mean_load = mean;
   ranking.own_load = pool.own;
@@ -247,9 +292,13 @@
   // requests.
   ranking.others_load = pool.typical_others * static_cast<double>(endpoints.size());
   if (request.prompt) {
-    for (const EndpointPtr& endpoint : draining) {
+    const auto consider_cache = [&](const EndpointPtr& endpoint) {
       preferred_old.Update(endpoint,
                            RendezvousScore(request.prompt->key, endpoint->record.name.value()));
+    };
+    std::for_each(draining.begin(), draining.end(), consider_cache);
+    for (const Candidate& limited : found.at_limit) {
+      consider_cache(*limited.endpoint);
     }
     // If the first endpoint is the highest-scoring old one, only a new endpoint can have taken over
     // the prompt.
--- a/src/forward/endpoint_ranking.h
+++ b/src/forward/endpoint_ranking.h
@@ -1,6 +1,7 @@
 #ifndef WAGTAILWIND_FORWARD_ENDPOINT_RANKING_H_
 #define WAGTAILWIND_FORWARD_ENDPOINT_RANKING_H_
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -24,6 +25,9 @@
   AvailabilityZoneName zone;
   /// Current wall-clock time, from which the age of endpoints is computed.
   WallTime wall_now{};
+  /// Whether the request costs an endpoint at least as much work as the average one. A limit counts
+  /// requests, so the costly ones use it first.
+  bool is_costly = true;
   /// Maximum number of connections from this router to one endpoint; 0 means no limit.
   std::uint32_t max_connections = 0;
 };
@@ -36,6 +40,9 @@
   bool at_home = false;
   /// Another endpoint that is expected to have the shared parts cached if the first one doesn't.
   EndpointPtr cached_at;
+  /// Time until an endpoint that has reached its request limit may get a request; empty if none
+  /// has.
+  std::optional<std::chrono::nanoseconds> limit_wait;
   /// Mean load of the endpoints that can serve the request.
   double mean_load = 0;
   /// Requests in flight at all endpoints of the service, from this router and from the others.
@@ -52,7 +59,8 @@
 /// bound is wide for long shared parts, which are expensive to process again, and narrow for short
 /// ones, which balance the load. The share of a new endpoint grows slowly, because each prompt that
 /// moves to it is processed again. Other requests go to the least loaded endpoint. Endpoints that
-/// are full, failing or overloaded come last.
+/// are full, failing or overloaded come last, and those that have reached their request limit are
+/// omitted.
 ///
 /// `draining` lists endpoints that take no requests, but from which cached parts can be fetched.
 [[nodiscard]] Ranking RankEndpoints(std::span<const EndpointPtr> endpoints,
--- a/src/forward/endpoint_registry.cc
+++ b/src/forward/endpoint_registry.cc
@@ -23,8 +23,8 @@
 
 using EndpointsByService = std::map<std::string, std::vector<EndpointPtr>, std::less<>>;
 
-const std::vector<EndpointPtr>& Find(const EndpointsByService& endpoints,
-                                     std::string_view service) {
+const std::vector<EndpointPtr>& EndpointsOf(const EndpointsByService& endpoints,
+                                            std::string_view service) {
   static const std::vector<EndpointPtr> none;
   const auto found = endpoints.find(service);
   return found == endpoints.end() ? none : found->second;
@@ -141,12 +141,23 @@
 
 const std::vector<EndpointPtr>& EndpointRegistry::Usable(std::string_view service) const {
   RefreshLists();
-  return Find(m_usable, service);
+  return EndpointsOf(m_usable, service);
 }
 
 const std::vector<EndpointPtr>& EndpointRegistry::Draining(std::string_view service) const {
   RefreshLists();
-  return Find(m_draining, service);
+  return EndpointsOf(m_draining, service);
+}
+
+EndpointPtr EndpointRegistry::Find(std::string_view name) const {
+  const auto found = m_entries.find(name);
+  return found == m_entries.end() ? nullptr : found->second.endpoint;
+}
+
+void EndpointRegistry::ForEach(const std::function<void(Endpoint&)>& function) const {
+  for (const auto& [name, entry] : m_entries) {
+    function(*entry.endpoint);
+  }
 }
 
 void EndpointRegistry::Remove(std::map<std::string, Entry, std::less<>>::iterator entry) {
--- a/src/forward/endpoint_registry.h
+++ b/src/forward/endpoint_registry.h
@@ -52,6 +52,12 @@
   /// \brief Returns the draining endpoints of a service: they get no requests, but still answer.
   [[nodiscard]] const std::vector<EndpointPtr>& Draining(std::string_view service) const;
 
+  /// \brief Returns the endpoint of this name; null if there is none.
+  [[nodiscard]] EndpointPtr Find(std::string_view name) const;
+
+  /// \brief Calls a function with each endpoint.
+  void ForEach(const std::function<void(Endpoint&)>& function) const;
+
   [[nodiscard]] std::size_t Size() const noexcept { return m_entries.size(); }
 
  private:
--- a/src/forward/forward_context.cc
+++ b/src/forward/forward_context.cc
@@ -1,8 +1,10 @@
 #include "forward/forward_context.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "core/mutant.h"
+#include "forward/log_events.h"
 
 namespace wagtailwind::forward {
 
@@ -28,6 +30,47 @@
          std::max<std::chrono::nanoseconds>(recent, bounds.configuration);
 }
 
+void ForwardContext::SetRequestLimit(Endpoint& endpoint, std::optional<double> limit) {
+  const std::optional<double> before = endpoint.quota.limit();
+  if (limit == before) {
+    return;
+  }
+  if (!limit) {
+    endpoint.quota.RemoveLimit();
+    // The requests that the endpoint could not take have gone to the others. While these look
+    // loaded they would get no requests, and so no newer reports.
+    endpoints.ForEach([&endpoint](Endpoint& other) {
+      if (other.record.service == endpoint.record.service) {
+        other.load.ForgetReport();
+      }
+    });
+  } else {
+    endpoint.quota.SetLimit(*limit, ShareOf(endpoint, *limit), clock.Now());
+  }
+  if (limit.has_value() != before.has_value()) {
+    Log(kEndpointLimitChanged, {{"endpoint", endpoint.record.name.value()},
+                                {"limited", limit ? 1 : 0},
+                                {"limit", limit.value_or(0)},
+                                {"rate", endpoint.quota.share().rate},
+                                {"routers", routers.size()}});
+  }
+}
+
+LimitShare ForwardContext::ShareOf(const Endpoint& endpoint, double limit) const {
+  return DivideLimit(
+      {.name = endpoint.record.name.value(), .zone = endpoint.record.zone, .limit = limit},
+      {.name = self, .zone = zone}, routers);
+}
+
+void ForwardContext::SetRouters(std::vector<RouterInfo> all) {
+  routers = std::move(all);
+  endpoints.ForEach([this](Endpoint& endpoint) {
+    if (const std::optional<double> limit = endpoint.quota.limit()) {
+      endpoint.quota.SetLimit(*limit, ShareOf(endpoint, *limit), clock.Now());
+    }
+  });
+}
+
 requests::RetryBudget& ForwardContext::RetryBudgetFor(const ServiceName& service) {
   requests::RetryBudgetSettings settings{
       .tokens_per_request = bounds.retry_ratio * kRetryRatioShare,
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -3,9 +3,12 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "core/clock.h"
 #include "core/metrics.h"
@@ -16,6 +19,7 @@
 #include "forward/endpoint_registry.h"
 #include "forward/memory_budget.h"
 #include "forward/prompt_quarantine.h"
+#include "forward/request_cost.h"
 #include "forward/routing.h"
 #include "forward/traffic_share.h"
 #include "forward/wire_names.h"
@@ -35,6 +39,10 @@
   const WireNames& names;
   settings::ForwarderBounds bounds;
   AvailabilityZoneName zone;
+  /// Name of this router.
+  InstanceName self;
+  /// All routers, including this one.
+  std::vector<RouterInfo> routers;
 
   EndpointRegistry endpoints;
   ConnectionPool pool;
@@ -44,10 +52,14 @@
   /// Empty until the first configuration has been read.
   std::shared_ptr<const RoutingConfiguration> configuration;
   TrafficShare traffic_share;
+  /// Costs of the requests by service.
+  std::map<std::string, RequestCosts, std::less<>> request_costs;
   /// Retry budgets by service.
   std::map<std::string, requests::RetryBudget, std::less<>> retry_budgets;
   CrashDetector crashes;
   PromptQuarantine quarantine;
+  /// Receives the request limit in each answer of an endpoint.
+  std::function<void(const EndpointPtr& endpoint, std::optional<double> limit)> on_request_limit;
   /// Answers that have been received and not yet been sent to their callers.
   MemoryBudget answer_memory;
 
@@ -55,6 +67,15 @@
   /// unknown routes and keys can be refused permanently, and the router is ready for callers.
   [[nodiscard]] bool IsConfirmed() const noexcept;
 
+  /// \brief Sets the request limit that an endpoint has named; empty if it has none.
+  void SetRequestLimit(Endpoint& endpoint, std::optional<double> limit);
+
+  /// \brief Replaces the list of routers, and divides all request limits anew.
+  void SetRouters(std::vector<RouterInfo> all);
+
+  /// \brief Returns this router's share of an endpoint's request limit.
+  [[nodiscard]] LimitShare ShareOf(const Endpoint& endpoint, double limit) const;
+
   /// \brief Returns the retry budget of a service, creating it at the first request. Its capacity
   /// is adjusted to the estimated number of routers.
   [[nodiscard]] requests::RetryBudget& RetryBudgetFor(const ServiceName& service);
--- a/src/forward/forward_task.cc
+++ b/src/forward/forward_task.cc
@@ -38,6 +38,11 @@
 constexpr std::chrono::milliseconds kRetryWhenNotReady = 500ms;
 constexpr std::chrono::milliseconds kRetryWhenNotConfirmed = 300ms;
 
+// Retry-After while all endpoints have reached their request limits. Another router, to which the
+// caller's retry may come, has shares of other endpoints.
+constexpr std::chrono::milliseconds kMinRetryWhenLimited = 200ms;
+constexpr std::chrono::milliseconds kMaxRetryWhenLimited = 2'000ms;
+
 }  // namespace
 
 ForwardTask::ForwardTask(ForwardContext& context, CallerRequest request, ResponseSink& sink,
@@ -220,6 +225,9 @@
     ranking.max_connections = spec->second.max_connections / kConnectionDivisor;
   }
   ranking.prompt = m_prompt;
+  const double cost =
+      ParseRequestCost(http::FindHeader(headers, m_context.names.token_counts)).value_or(0);
+  ranking.is_costly = m_context.request_costs[m_service.value()].IsCostly(cost);
   Ranking ranked = RankEndpoints(m_context.endpoints.Usable(m_service.value()),
                                  m_context.endpoints.Draining(m_service.value()), ranking,
                                  m_context.clock.Now(), m_context.random, kMaxCandidates);
@@ -230,6 +238,12 @@
   if (spec != m_configuration->services.end() && spec->second.shares_cache) {
     m_cached_at = std::move(ranked.cached_at);
   }
+  if (m_ranked.empty() && ranked.limit_wait) {
+    Refuse(detail::kStatusUnavailable, FailureReason::kOverBound,
+           std::clamp(std::chrono::ceil<std::chrono::milliseconds>(*ranked.limit_wait),
+                      kMinRetryWhenLimited, kMaxRetryWhenLimited));
+    return false;
+  }
   if (m_ranked.empty()) {
     Refuse(detail::kStatusUnavailable, FailureReason::kNoEndpoint, kRetryWhenNotReady);
     return false;
--- a/src/forward/forward_task_answer.cc
+++ b/src/forward/forward_task_answer.cc
@@ -104,18 +104,6 @@
   }
 }
 
-void ForwardTask::RecordRequestLimit(const http1::MessageHead& head) {
-  Endpoint& endpoint = *m_connection->endpoint;
-  const std::optional<double> limit =
-      ParseRequestLimit(http::FindHeader(head.headers, m_context.names.request_limit));
-  if (limit.has_value() != endpoint.request_limit.has_value()) {
-    Log(kEndpointLimitChanged, {{"endpoint", endpoint.record.name.value()},
-                                {"limited", limit ? 1 : 0},
-                                {"limit", limit.value_or(0)}});
-  }
-  endpoint.request_limit = limit;
-}
-
 bool ForwardTask::OnResponseHead(http1::MessageHead head) {
   m_connection->endpoint->health.OnBytesReceived(m_context.clock.Now());
   const std::string_view id = http::FindHeader(head.headers, m_context.names.attempt_id);
@@ -130,7 +118,9 @@
     return false;
   }
   RecordLoadReport(head);
-  RecordRequestLimit(head);
+  m_context.on_request_limit(
+      m_connection->endpoint,
+      ParseRequestLimit(http::FindHeader(head.headers, m_context.names.request_limit)));
   m_kind = Classify(head);
   if (m_kind == AnswerKind::kBuffered && m_stream_began) {
     // The caller has received events of an earlier attempt, which only further events may follow.
--- a/src/forward/forward_task_attempts.cc
+++ b/src/forward/forward_task_attempts.cc
@@ -71,14 +71,15 @@
 }
 
 bool ForwardTask::StartAttempt(const router::Step& step, const EndpointPtr& endpoint) {
-  if (!endpoint->usable || TimeLeft() < kMinAttemptTime) {
+  const SteadyTime now = m_context.clock.Now();
+  if (!endpoint->usable || TimeLeft() < kMinAttemptTime || !endpoint->quota.IsAvailable(now)) {
     return false;
   }
-  const SteadyTime now = m_context.clock.Now();
   // A failing endpoint is ranked first only if all endpoints are failing; then it is tried anyway.
   if (!endpoint->health.TryAcquire(now) && endpoint != m_ranked.front()) {
     return false;
   }
+  (void)endpoint->quota.TryTake(now);
   m_attempt = step.attempt;
   m_last_endpoint = endpoint->record.name;
   m_sent = false;
@@ -108,7 +109,7 @@
                         {"load", endpoint->load.Requests(now)},
                         {"mean_load", m_mean_load},
                         {"at_home", m_at_home ? 1 : 0},
-                        {"limit", endpoint->request_limit.value_or(-1)},
+                        {"limit", endpoint->quota.limit().value_or(-1)},
                         {"reused", m_connection->reused ? 1 : 0}});
   m_connection->connection->Send(RequestText(endpoint), m_request.head.method == "HEAD", *this);
   RestartSilenceTimer();
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -186,6 +186,8 @@
                 .names = adapter.Names(),
                 .bounds = settings.bounds,
                 .zone = settings.zone,
+                .self = settings.instance,
+                .routers = {{.name = settings.instance, .zone = settings.zone}},
                 .endpoints = EndpointRegistry([this](const EndpointPtr& endpoint) {
                   Log(kEndpointRemoved, {{"endpoint", endpoint->record.name.value()},
                                          {"service", endpoint->record.service.value()},
@@ -197,6 +199,7 @@
                 .confirmation = {},
                 .configuration = {},
                 .traffic_share = {},
+                .request_costs = {},
                 .retry_budgets = {},
                 .crashes = CrashDetector(
                     loop,
@@ -204,15 +207,25 @@
                       m_crash_reports.OnCrash(endpoint, std::move(prompts));
                     }),
                 .quarantine = {},
+                .on_request_limit =
+                    [this](const EndpointPtr& endpoint, std::optional<double> limit) {
+                      m_limits.OnAnswer(endpoint, limit);
+                    },
                 .answer_memory = MemoryBudget(settings.memory_bytes / kAnswerMemoryDivisor)},
       m_adapter(adapter),
       m_settings(settings),
       m_on_stopped(std::move(on_stopped)),
       m_configuration_follower(m_context, adapter),
       m_endpoint_follower(m_context, adapter),
-      m_crash_reports(m_context, adapter, settings.instance, settings.key_value),
-      m_dispatcher(adapter.EndpointPrefix(), adapter.RouterPrefix(), m_configuration_follower,
-                   m_endpoint_follower, m_crash_reports),
+      m_writer(loop, clock, random, adapter.Codec(), metrics, {.address = settings.key_value}),
+      m_crash_reports(m_context, adapter, m_writer),
+      m_limits(m_context, adapter, m_writer),
+      m_routers(m_context, adapter, m_writer),
+      m_dispatcher({.endpoint_prefix = adapter.EndpointPrefix(),
+                    .router_prefix = adapter.RouterPrefix(),
+                    .configuration = m_configuration_follower,
+                    .endpoints = m_endpoint_follower,
+                    .routers = {&m_crash_reports, &m_limits, &m_routers}}),
       m_callers(std::make_unique<CallerHost>(*this)),
       m_admin(std::make_unique<AdminHost>(*this)),
       m_tick(loop, [this] { Tick(); }),
@@ -237,7 +250,8 @@
                                  adapter.RouterPrefix()),
           .watch_time = FractionOf(settings.bounds.key_revocation, kWatchFraction),
           .pause_after_change = FractionOf(settings.bounds.endpoint_drain, kEndpointPauseFraction),
-          .paused_prefix = std::string(adapter.EndpointPrefix())},
+          .paused_prefixes = {std::string(adapter.EndpointPrefix()),
+                              RouterDirectory::Prefix(adapter), RequestLimits::Prefix(adapter)}},
       m_dispatcher);
   m_tick.StartPeriodic(kTickInterval);
 }
@@ -253,6 +267,8 @@
   m_context.pool.CloseExpired();
   m_context.endpoints.RemoveExpired(m_context.clock.Now());
   m_crash_reports.Tick();
+  m_limits.Tick();
+  m_routers.Tick();
   UpdateGauges();
   const bool ready = IsReady();
   if (ready != std::exchange(m_was_ready, ready)) {
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -17,6 +17,9 @@
 #include "forward/forward_context.h"
 #include "forward/prefix_feed.h"
 #include "forward/record_dispatcher.h"
+#include "forward/record_writer.h"
+#include "forward/request_limits.h"
+#include "forward/router_directory.h"
 #include "net/event_loop.h"
 #include "net/tcp_stream.h"
 #include "settings/forwarder_settings.h"
@@ -68,7 +71,10 @@
   std::function<void()> m_on_stopped;
   ConfigurationFollower m_configuration_follower;
   EndpointFollower m_endpoint_follower;
+  RecordWriter m_writer;
   CrashReports m_crash_reports;
+  RequestLimits m_limits;
+  RouterDirectory m_routers;
   RecordDispatcher m_dispatcher;
   std::unique_ptr<CallerHost> m_callers;
   std::unique_ptr<AdminHost> m_admin;
--- a/src/forward/load_estimate.h
+++ b/src/forward/load_estimate.h
@@ -27,6 +27,9 @@
 
   void OnReport(const LoadReport& report, SteadyTime now) noexcept;
 
+  /// \brief Discards the last report, because the load has changed for a known reason.
+  void ForgetReport() noexcept { m_reported = false; }
+
   /// \brief Returns the number of requests of this router at the endpoint.
   [[nodiscard]] std::uint32_t own() const noexcept { return m_own; }
 
--- a/src/forward/log_events.h
+++ b/src/forward/log_events.h
@@ -35,6 +35,8 @@
 inline constexpr LogEvent kRecordWriteFailed{2234, LogLevel::kWarn, "record_write_failed"};
 inline constexpr LogEvent kRecordDropped{2235, LogLevel::kWarn, "record_dropped"};
 inline constexpr LogEvent kEndpointLimitChanged{2236, LogLevel::kInfo, "endpoint_limit_changed"};
+inline constexpr LogEvent kRoutersChanged{2237, LogLevel::kInfo, "routers_changed"};
+inline constexpr LogEvent kLimitRecordIgnored{2238, LogLevel::kWarn, "limit_record_ignored"};
 
 }  // namespace wagtailwind::forward
 
--- a/src/forward/prefix_feed.cc
+++ b/src/forward/prefix_feed.cc
@@ -273,10 +273,13 @@
 }
 
 std::chrono::milliseconds PrefixFeed::PauseAfter(const platform::WatchPage& page) const {
-  const bool may_pause = std::all_of(page.changes.begin(), page.changes.end(),
-                                     [this](const platform::KeyValueItem& change) {
-                                       return change.key.starts_with(m_settings.paused_prefix);
-                                     });
+  const bool may_pause = std::all_of(
+      page.changes.begin(), page.changes.end(), [this](const platform::KeyValueItem& change) {
+        const auto& prefixes = m_settings.paused_prefixes;
+        return std::any_of(prefixes.begin(), prefixes.end(), [&change](const std::string& prefix) {
+          return change.key.starts_with(prefix);
+        });
+      });
   return may_pause && !page.changes.empty() ? m_settings.pause_after_change : 0ms;
 }
 
--- a/src/forward/prefix_feed.h
+++ b/src/forward/prefix_feed.h
@@ -50,10 +50,10 @@
   /// plus two round trips old.
   std::chrono::milliseconds watch_time{1'400};
   /// Pause after a watch that returned changes, so that one call returns several frequent writes.
-  /// No pause follows a change of a key that does not begin with `paused_prefix`. The next watch is
-  /// shorter by the pause, so that confirmations get no older.
+  /// No pause follows a change of a key that begins with none of `paused_prefixes`. The next watch
+  /// is shorter by the pause, so that confirmations get no older.
   std::chrono::milliseconds pause_after_change{0};
-  std::string paused_prefix{};
+  std::vector<std::string> paused_prefixes{};
 };
 
 /// \brief Follows the keys with a prefix in the key-value service: a full read, then watches.
--- a/src/forward/record_dispatcher.cc
+++ b/src/forward/record_dispatcher.cc
@@ -6,8 +6,8 @@
     const std::vector<platform::KeyValueItem>& items) const {
   Parts parts;
   for (const platform::KeyValueItem& item : items) {
-    const bool is_endpoint = item.key.starts_with(m_endpoint_prefix);
-    const bool is_router = item.key.starts_with(m_router_prefix);
+    const bool is_endpoint = item.key.starts_with(m_followers.endpoint_prefix);
+    const bool is_router = item.key.starts_with(m_followers.router_prefix);
     (is_endpoint ? parts.endpoints
      : is_router ? parts.routers
                  : parts.configuration)
@@ -19,34 +19,42 @@
 void RecordDispatcher::OnSnapshot(const std::vector<platform::KeyValueItem>& items,
                                   BootTime valid_as_of) {
   const Parts parts = Divide(items);
-  m_endpoints.OnSnapshot(parts.endpoints, valid_as_of);
-  m_routers.OnSnapshot(parts.routers, valid_as_of);
-  m_configuration.OnSnapshot(parts.configuration, valid_as_of);
+  m_followers.endpoints.OnSnapshot(parts.endpoints, valid_as_of);
+  for (FeedListener* follower : m_followers.routers) {
+    follower->OnSnapshot(parts.routers, valid_as_of);
+  }
+  m_followers.configuration.OnSnapshot(parts.configuration, valid_as_of);
 }
 
 void RecordDispatcher::OnChanges(const std::vector<platform::KeyValueItem>& changes,
                                  BootTime valid_as_of) {
   const Parts parts = Divide(changes);
   if (!parts.endpoints.empty()) {
-    m_endpoints.OnChanges(parts.endpoints, valid_as_of);
+    m_followers.endpoints.OnChanges(parts.endpoints, valid_as_of);
   }
   if (!parts.routers.empty()) {
-    m_routers.OnChanges(parts.routers, valid_as_of);
+    for (FeedListener* follower : m_followers.routers) {
+      follower->OnChanges(parts.routers, valid_as_of);
+    }
   }
   // Also without changes: the watch confirms that the configuration is the newest.
-  m_configuration.OnChanges(parts.configuration, valid_as_of);
+  m_followers.configuration.OnChanges(parts.configuration, valid_as_of);
 }
 
 void RecordDispatcher::OnFeedLost() {
-  m_configuration.OnFeedLost();
-  m_endpoints.OnFeedLost();
-  m_routers.OnFeedLost();
+  m_followers.configuration.OnFeedLost();
+  m_followers.endpoints.OnFeedLost();
+  for (FeedListener* follower : m_followers.routers) {
+    follower->OnFeedLost();
+  }
 }
 
 void RecordDispatcher::OnFeedRegained(SteadyTime last_failed) {
-  m_configuration.OnFeedRegained(last_failed);
-  m_endpoints.OnFeedRegained(last_failed);
-  m_routers.OnFeedRegained(last_failed);
+  m_followers.configuration.OnFeedRegained(last_failed);
+  m_followers.endpoints.OnFeedRegained(last_failed);
+  for (FeedListener* follower : m_followers.routers) {
+    follower->OnFeedRegained(last_failed);
+  }
 }
 
 }  // namespace wagtailwind::forward
--- a/src/forward/record_dispatcher.h
+++ b/src/forward/record_dispatcher.h
@@ -2,6 +2,7 @@
 #define WAGTAILWIND_FORWARD_RECORD_DISPATCHER_H_
 
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "forward/prefix_feed.h"
@@ -12,15 +13,18 @@
 /// endpoints, and of the records of other routers.
 class RecordDispatcher final : public FeedListener {
  public:
-  /// \brief All arguments must outlive the object.
-  RecordDispatcher(std::string_view endpoint_prefix, std::string_view router_prefix,
-                   FeedListener& configuration, FeedListener& endpoints,
-                   FeedListener& routers) noexcept
-      : m_endpoint_prefix(endpoint_prefix),
-        m_router_prefix(router_prefix),
-        m_configuration(configuration),
-        m_endpoints(endpoints),
-        m_routers(routers) {}
+  /// \brief Followers of the records, and the prefixes by which these are told apart.
+  struct Followers {
+    std::string_view endpoint_prefix;
+    std::string_view router_prefix;
+    FeedListener& configuration;
+    FeedListener& endpoints;
+    /// Each of them gets all records of routers.
+    std::vector<FeedListener*> routers;
+  };
+
+  /// \brief All that `followers` refers to must outlive the object.
+  explicit RecordDispatcher(Followers followers) noexcept : m_followers(std::move(followers)) {}
 
   void OnSnapshot(const std::vector<platform::KeyValueItem>& items, BootTime valid_as_of) override;
   void OnChanges(const std::vector<platform::KeyValueItem>& changes, BootTime valid_as_of) override;
@@ -35,11 +39,7 @@
   };
   [[nodiscard]] Parts Divide(const std::vector<platform::KeyValueItem>& items) const;
 
-  std::string_view m_endpoint_prefix;
-  std::string_view m_router_prefix;
-  FeedListener& m_configuration;
-  FeedListener& m_endpoints;
-  FeedListener& m_routers;
+  Followers m_followers;
 };
 
 }  // namespace wagtailwind::forward
--- a/src/forward/record_writer.h
+++ b/src/forward/record_writer.h
@@ -19,12 +19,16 @@
 
 namespace wagtailwind::forward {
 
+/// \brief Longest lifetime that the service accepts: few calls, and the records outlast an outage
+/// of the service.
+inline constexpr std::chrono::minutes kRecordLifetime{10};
+
 /// \brief Service and lifetime of the records that a RecordWriter writes.
 struct RecordWriterSettings {
   /// `ip:port` of the key-value service.
   std::string address;
-  /// Time after which the service removes a record. The service accepts up to ten minutes.
-  std::chrono::milliseconds lifetime{};
+  /// Time after which the service removes a record.
+  std::chrono::milliseconds lifetime = kRecordLifetime;
 };
 
 /// \brief Writes records that expire, in order, and repeats failed writes until the service accepts
--- a/src/forward/wire_names.h
+++ b/src/forward/wire_names.h
@@ -32,6 +32,9 @@
   std::string priority;
   /// Parts of the prompt, as `id:tokens`, separated by commas.
   std::string prompt_parts;
+  /// Number of tokens of the prompt, and largest number of tokens of the answer, separated by a
+  /// comma.
+  std::string token_counts;
   /// Address of an endpoint from which to fetch the prompt's cached parts.
   std::string fetch_from;
   /// Model that must serve the request.
--- a/tests/support/forwarder_fixture.cc
+++ b/tests/support/forwarder_fixture.cc
@@ -54,6 +54,7 @@
   m_names.request_limit = "Limit";
   m_names.priority = "Urgency";
   m_names.prompt_parts = "Parts";
+  m_names.token_counts = "Tokens";
   m_names.fetch_from = "Fetch";
   m_names.model = "Model";
   m_names.reserved = {"Reserved"};
--- a/tests/unit/forward_endpoint_ranking_test.cc
+++ b/tests/unit/forward_endpoint_ranking_test.cc
@@ -56,6 +56,14 @@
     return forward::RankEndpoints(endpoints, draining, request, clock.Now(), random, 4);
   }
 
+  Ranking RankSmall(std::uint64_t key) {
+    RankingRequest request;
+    request.prompt = SharedPrompt{.key = key, .tokens = kShortPromptTokens};
+    request.wall_now = clock.WallNow();
+    request.is_costly = false;
+    return forward::RankEndpoints(endpoints, draining, request, clock.Now(), random, 4);
+  }
+
   Ranking RankCall() {
     return forward::RankEndpoints(endpoints, draining, {}, clock.Now(), random, 4);
   }
@@ -216,3 +224,45 @@
   cr_assert_neq(one->key, forward::ParsePrompt("5c1e07a2:800,e4402b7d:250")->key);
   cr_assert_not(forward::ParsePrompt("").has_value());
 }
+
+// Load pattern: most endpoints of a pool name a limit of requests. Guards against requests that
+// wait for an endpoint at its limit while others are free, and against processing parts again that
+// it has cached.
+Test(endpoint_ranking, passes_over_an_endpoint_at_its_limit) {
+  Pool pool(9);
+  pool.SetAllLoads(8);
+  const EndpointPtr home = pool.Rank(42).endpoints[0];
+  home->quota.SetLimit(4, {.rate = 1}, pool.clock.Now());
+  const Ranking ranking = pool.Rank(42);
+  cr_assert_neq(ranking.endpoints[0].get(), home.get());
+  cr_assert_eq(ranking.cached_at.get(), home.get());
+  pool.clock.Advance(1'000ms);
+  cr_assert_eq(pool.Rank(42).endpoints[0].get(), home.get());
+}
+
+// Load pattern: a few large prompts and many small ones, while a limit counts requests. Guards
+// against small ones that use up what the large ones need, and against a limit left unused.
+Test(endpoint_ranking, leaves_limited_endpoints_to_costly_requests) {
+  Pool pool(3);
+  const EndpointPtr limited = pool.Rank(42).endpoints[0];
+  limited->quota.SetLimit(4, {.rate = 1}, pool.clock.Now());
+  pool.clock.Advance(1'100ms);
+  cr_assert_eq(pool.Rank(42).endpoints[0].get(), limited.get());
+  cr_assert_neq(pool.RankSmall(42).endpoints[0].get(), limited.get());
+  pool.clock.Advance(1'000ms);
+  cr_assert_eq(pool.RankSmall(42).endpoints[0].get(), limited.get());
+}
+
+// Load pattern: all endpoints of a pool name limits below the load. Guards against refusing small
+// requests while there is something left, and against refusals without the time of the next one.
+Test(endpoint_ranking, uses_the_limits_if_all_endpoints_have_one) {
+  Pool pool(3);
+  for (const EndpointPtr& endpoint : pool.endpoints) {
+    endpoint->quota.SetLimit(4, {.rate = 1}, pool.clock.Now());
+  }
+  const Ranking none = pool.RankSmall(1);
+  cr_assert(none.endpoints.empty());
+  cr_assert(none.limit_wait == std::optional<std::chrono::nanoseconds>(1s));
+  pool.clock.Advance(1'000ms);
+  cr_assert_eq(pool.RankSmall(1).endpoints.size(), 3);
+}
--- a/tests/unit/forward_prefix_feed_test.cc
+++ b/tests/unit/forward_prefix_feed_test.cc
@@ -183,7 +183,7 @@
                             .address = fixture.store.Address(),
                             .prefix = "",
                             .pause_after_change = 500ms,
-                            .paused_prefix = "endpoint/"},
+                            .paused_prefixes = {"endpoint/"}},
       fixture.listener);
   cr_assert(fixture.RunUntil([&] { return fixture.store.calls["/watch"] == 1; }));
   for (int i = 0; i < 20; ++i) {
--- a/tests/unit/forward_record_dispatcher_test.cc
+++ b/tests/unit/forward_record_dispatcher_test.cc
@@ -39,7 +39,12 @@
   Recorder configuration;
   Recorder endpoints;
   Recorder routers;
-  forward::RecordDispatcher dispatcher("endpoint/", "router/", configuration, endpoints, routers);
+  Recorder other_routers;
+  forward::RecordDispatcher dispatcher({.endpoint_prefix = "endpoint/",
+                                        .router_prefix = "router/",
+                                        .configuration = configuration,
+                                        .endpoints = endpoints,
+                                        .routers = {&routers, &other_routers}});
   dispatcher.OnSnapshot(
       {Item("configuration"), Item("endpoint/a"), Item("other"), Item("router/1")}, {});
   dispatcher.OnChanges({Item("endpoint/b"), Item("router/2")}, {});
@@ -53,4 +58,5 @@
             Events({"snapshot endpoint/a", "changes endpoint/b", "lost", "regained"}));
   cr_assert(routers.events ==
             Events({"snapshot router/1", "changes router/2", "lost", "regained"}));
+  cr_assert(other_routers.events == routers.events);
 }
--- a/tests/unit/forward_unframed_stream_test.cc
+++ b/tests/unit/forward_unframed_stream_test.cc
@@ -41,7 +41,7 @@
   connection.Write(StreamHead(connection) + (resumed ? "" : Event(1)) + Event(2) + "0\r\n\r\n");
 }
 
-const std::string kWhole = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n";
+constexpr const char* kWhole = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n";
 
 }  // namespace
 
@@ -79,10 +79,10 @@
 // Guards against repeating what is whole.
 Test(forward_unframed_stream, is_whole_if_it_ends_after_an_event) {
   for (const char* rest : {"", "\n", ": comment\n\n", ": comment"}) {
-    TwoEndpoints fleet(StreamRoute(true), Unframed(kWhole + rest), SendRest);
+    TwoEndpoints fleet(StreamRoute(true), Unframed(std::string(kWhole) + rest), SendRest);
     const auto answer = fleet.Call();
     cr_assert(answer->complete);
-    cr_assert(answer->body == kWhole + rest, "%s", answer->body.c_str());
+    cr_assert(answer->body == std::string(kWhole) + rest, "%s", answer->body.c_str());
     cr_assert_eq(fleet.arrivals, 1);
   }
 }
