Learn request limits only from answers that are the endpoint's own

What callers saw: nothing; found by reading. An answer without a signature, as an endpoint in trouble sends it, has no limit either; the router took it for the end of the limit and told all others. Cause: the header was read before it was known whose answer it is. Change: only signed answers and refusals count; 421 of another process does not. Evidence: does_not_end_with_an_answer_without_a_signature failed before (a record was written) and passes.

--- a/src/forward/forward_task.h
+++ b/src/forward/forward_task.h
@@ -111,6 +111,7 @@
   void OnConnectionEnd(http1::ConnectionEnd end, std::string_view detail) override;
   [[nodiscard]] AnswerKind Classify(const http1::MessageHead& head) const;
   void RecordLoadReport(const http1::MessageHead& head);
+  void RecordRequestLimit(const http1::MessageHead& head);
   /// Whether the current answer is a stream that ended with its connection, and not at its end.
   [[nodiscard]] bool IsBrokenStream() const noexcept;
   /// Whether the current answer is not a success.
--- a/src/forward/forward_task_answer.cc
+++ b/src/forward/forward_task_answer.cc
@@ -104,6 +104,18 @@
   }
 }
 
+void ForwardTask::RecordRequestLimit(const http1::MessageHead& head) {
+  const WireNames& names = m_context.names;
+  const bool is_endpoints_own =
+      head.status != kMisdirected && (!http::FindHeader(head.headers, names.signature).empty() ||
+                                      !http::FindHeader(head.headers, names.not_run).empty());
+  // Bytes of another process, or none that the endpoint meant, say nothing of its limit.
+  if (is_endpoints_own) {
+    m_context.on_request_limit(m_connection->endpoint, ParseRequestLimit(http::FindHeader(
+                                                           head.headers, names.request_limit)));
+  }
+}
+
 bool ForwardTask::OnResponseHead(http1::MessageHead head) {
   m_connection->endpoint->health.OnBytesReceived(m_context.clock.Now());
   const std::string_view id = http::FindHeader(head.headers, m_context.names.attempt_id);
@@ -118,9 +130,7 @@
     return false;
   }
   RecordLoadReport(head);
-  m_context.on_request_limit(
-      m_connection->endpoint,
-      ParseRequestLimit(http::FindHeader(head.headers, m_context.names.request_limit)));
+  RecordRequestLimit(head);
   m_kind = Classify(head);
   if (m_kind == AnswerKind::kBuffered && m_stream_began) {
     // The caller has received events of an earlier attempt, which only further events may follow.
--- a/tests/unit/forward_request_limit_test.cc
+++ b/tests/unit/forward_request_limit_test.cc
@@ -30,6 +30,11 @@
   LimitedPool() {
     AddEndpoint("limited", [this](Connection& connection) {
       arrivals.push_back(clock.Now());
+      if (is_garbled) {
+        const std::string id(http::FindHeader(connection.head.headers, "Attempt"));
+        connection.Write(testing::HttpText(200, "Attempt: " + id + "\r\n", "limited"));
+        return;
+      }
       const std::string limit = names_limit ? "Limit: " + std::to_string(kLimit) + "\r\n" : "";
       connection.Write(
           testing::HttpText(200, testing::SignedHeaders(connection) + limit, "limited"));
@@ -64,6 +69,7 @@
 
   std::vector<SteadyTime> arrivals;
   bool names_limit = true;
+  bool is_garbled = false;
 };
 
 }  // namespace
@@ -116,3 +122,20 @@
   fleet.CallFor(1'000ms);
   cr_assert_gt(fleet.MostInWindow(ended), kTolerated);
 }
+
+// Guards against telling all routers that a limit has ended because of an answer that is not the
+// endpoint's own.
+Test(forward_request_limit, does_not_end_with_an_answer_without_a_signature, .timeout = 60) {
+  LimitedPool fleet;
+  // The router has written its own record.
+  fleet.loop.RunFor(4'500ms);
+  fleet.CallFor(1'000ms);
+  const int writes = fleet.store.calls["/put"];
+  fleet.is_garbled = true;
+  const std::size_t before = fleet.arrivals.size();
+  while (fleet.arrivals.size() == before) {
+    fleet.CallFor(10ms);
+  }
+  fleet.loop.RunFor(1'000ms);
+  cr_assert_eq(fleet.store.calls["/put"], writes);
+}
