Leave room in request limits for routers that have not heard of them

Limits were named for the second time while the key-value service was away, so 46 routers each had to learn of them by a request. Cause: the shares of 2 L + 2 routers and their saved requests left three requests in 4 s for those that do not know the limit. Change: 2 L - 1 routers, which leaves six.

--- a/src/forward/request_limit.cc
+++ b/src/forward/request_limit.cc
@@ -15,12 +15,18 @@
 
 using namespace std::chrono_literals;
 
-// Number of routers that use a limit of L requests a second: 2 L + 2. In 4 s they send at most 4 L
-// requests and one that each had saved up, which is below the 6 L + 5 that the platform tolerates,
-// also while they know different routers. With fewer of them, most of an endpoint's own prompts
-// would arrive at routers that may not send them there.
+// Number of routers that use a limit of L requests a second: 2 L - 1, at least one. In 4 s they
+// send at most 4 L requests and one that each had saved up. The platform tolerates 6 L + 5; the
+// other 6 are for routers that have not yet heard of the limit, or know different routers. With
+// fewer users, most of an endpoint's own prompts would arrive at routers that may not send them
+// there.
 constexpr double kUsersPerRequestRate = 2.0;
-constexpr double kMinUsers = 2.0;
+constexpr double kUnusedUsers = 1.0;
+
+/// Returns the number of requests that may be saved up for an endpoint at all routers.
+double SavedRequests(double limit) noexcept {
+  return std::max(std::floor(kUsersPerRequestRate * limit - kUnusedUsers), 1.0);
+}
 
 // Saved requests that let a router use its share although its requests come at irregular times.
 constexpr double kMaxBurst = 2.0;
@@ -49,8 +55,8 @@
 LimitShare DivideLimit(const LimitedEndpoint& endpoint, const RouterInfo& self,
                        std::span<const RouterInfo> routers) {
   const auto count = static_cast<double>(std::max<std::size_t>(routers.size(), 1));
-  const double users =
-      std::min(std::floor(kUsersPerRequestRate * endpoint.limit + kMinUsers), count);
+  const double saved = SavedRequests(endpoint.limit);
+  const double users = std::min(saved, count);
   const std::uint64_t key = StableHash(endpoint.name);
   const auto rank = [&endpoint, key](const RouterInfo& router) {
     return std::pair(router.zone == endpoint.zone, RendezvousScore(key, router.name.value()));
@@ -63,7 +69,6 @@
   if (static_cast<double>(ahead) >= users) {
     return {};
   }
-  const double saved = kUsersPerRequestRate * endpoint.limit + kMinUsers;
   return {.rate = endpoint.limit / users, .burst = std::clamp(saved / users, 1.0, kMaxBurst)};
 }
 
