Bound the memory of answered prompt parts by the recent ones

Change: old entries are removed at 256 entries, later if most are recent. Measured: prompt_quarantine and forward_crashing_prompt pass.

--- a/src/forward/crash_detector.cc
+++ b/src/forward/crash_detector.cc
@@ -16,8 +16,8 @@
 // may be unreachable, which is no sign of a crash.
 constexpr std::chrono::milliseconds kProbeTimeout = 500ms;
 
-// Probes at the same time: more than a prompt can crash before it is quarantined. When a whole pool
-// disappears, the prompts are not the cause.
+// Probes at the same time: more endpoints than a prompt can crash before it is quarantined. When a
+// whole pool disappears, the prompts are not the cause.
 constexpr std::size_t kMaxProbes = 32;
 
 }  // namespace
--- a/src/forward/prompt_quarantine.cc
+++ b/src/forward/prompt_quarantine.cc
@@ -40,7 +40,6 @@
 // and more prompts identify no part.
 constexpr std::size_t kMaxCrashes = 64;
 constexpr std::size_t kMaxPrompts = 64;
-constexpr std::size_t kMaxBeganParts = 4'096;
 
 /// Evidence against one part.
 struct Tally {
@@ -90,8 +89,9 @@
       }
     }
   }
-  if (m_began.size() > kMaxBeganParts) {
+  if (m_began.size() >= m_began_limit) {
     std::erase_if(m_began, [now](const auto& entry) { return now - entry.second > kSoundTime; });
+    m_began_limit = std::max(kMinBeganLimit, 2 * m_began.size());
   }
   if (changed) {
     Update();
--- a/src/forward/prompt_quarantine.h
+++ b/src/forward/prompt_quarantine.h
@@ -85,6 +85,8 @@
     SteadyTime at{};
   };
 
+  static constexpr std::size_t kMinBeganLimit = 256;
+
   [[nodiscard]] bool BeganRecently(PromptPart part, SteadyTime now) const;
   /// Returns the crash of a report; adds it if it is unknown.
   [[nodiscard]] Crash& FindOrAdd(const CrashReport& report, SteadyTime now);
@@ -99,6 +101,9 @@
   std::unordered_set<PromptPart> m_suspected;
   /// Times at which the last answers to prompts with a part began.
   std::unordered_map<PromptPart, SteadyTime> m_began;
+  /// Size at which old entries of m_began are removed. Doubled if most are recent, so that the cost
+  /// of a removal is spread over as many answers.
+  std::size_t m_began_limit = kMinBeganLimit;
 };
 
 }  // namespace wagtailwind::forward
