Use request limits before endpoints that are busy with what the limited ones can't take

Change: while a limit has something left, an endpoint without one that has half of its slots taken gets no more than the mean. uses_the_limits_before_busy_endpoints failed before and passes. Also tried, and left: the mean as the bound regardless of slots, tokens that are reserved for a quarter of their period.

--- a/src/forward/endpoint_ranking.cc
+++ b/src/forward/endpoint_ranking.cc
@@ -54,6 +54,9 @@
 // new ones may lead.
 constexpr double kMaxOldEndpointLoad = 1.15;
 
+// Part of its slots from which an endpoint is busy, so that its requests slow each other down.
+constexpr double kBusyFraction = 0.5;
+
 /// An endpoint that can serve the request, and its load.
 struct Candidate {
   const EndpointPtr* endpoint;
@@ -245,7 +248,17 @@
   const double mean_failure_rate = found.total_failure_rate / count;
   const bool is_long = request.prompt && request.prompt->tokens >= kLongPromptTokens;
   const LoadBound& limits = is_long ? kLongPromptBound : kShortPromptBound;
+  // While an endpoint with a limit has something left, a busy one that takes what the limited ones
+  // can't gets no more than the mean. Otherwise the prompts of its own would leave the limits
+  // unused.
+  const bool has_limit_left = std::any_of(
+      candidates.begin(), candidates.end(),
+      [](const Candidate& candidate) { return (*candidate.endpoint)->quota.limit().has_value(); });
   const double bound = limits.factor * mean + limits.slack;
+  const auto yields = [&](const Endpoint& endpoint, double load) {
+    return has_limit_left && !endpoint.quota.limit() &&
+           load > std::max(mean, kBusyFraction * endpoint.record.slots);
+  };
   // Only requests with a prompt use the event interval.
   const auto slow_interval =
       request.prompt ? SlowEventInterval(endpoints, now) : std::chrono::duration<double>::max();
@@ -271,8 +284,8 @@
         endpoint->health.IsUnresponsive(now) ||
         endpoint->health.FailureRate(now) > kFailureFactor * mean_failure_rate + kFailureRateSlack;
     const bool overloaded =
-        request.prompt &&
-        (load > bound || endpoint->pace.Mean(now).value_or(slow_interval) > slow_interval);
+        request.prompt && (load > bound || yields(*endpoint, load) ||
+                           endpoint->pace.Mean(now).value_or(slow_interval) > slow_interval);
     const int tier = failing ? 2 : overloaded ? 1 : 0;
     const double cost =
         request.prompt && tier == 0 ? -score : LoadCost(*endpoint, request, load, random);
--- a/tests/unit/forward_endpoint_ranking_test.cc
+++ b/tests/unit/forward_endpoint_ranking_test.cc
@@ -266,3 +266,25 @@
   pool.clock.Advance(1'000ms);
   cr_assert_eq(pool.RankSmall(1).endpoints.size(), 3);
 }
+
+// Load pattern: most endpoints of a pool name limits, and the others are full. Guards against
+// limits that are left unused while prompts wait at their full homes.
+Test(endpoint_ranking, uses_the_limits_before_busy_endpoints) {
+  Pool pool(4);
+  const EndpointPtr home = pool.Rank(42).endpoints[0];
+  for (const EndpointPtr& endpoint : pool.endpoints) {
+    if (endpoint != home) {
+      endpoint->quota.SetLimit(4, {.rate = 1}, pool.clock.Now());
+      pool.SetLoad(endpoint, 12);
+    }
+  }
+  pool.clock.Advance(1'000ms);
+  pool.SetLoad(home, 14);
+  cr_assert_eq(pool.Rank(42).endpoints[0].get(), home.get());
+  pool.SetLoad(home, 20);
+  cr_assert_neq(pool.Rank(42).endpoints[0].get(), home.get());
+  for (const EndpointPtr& endpoint : pool.endpoints) {
+    (void)endpoint->quota.TryTake(pool.clock.Now());
+  }
+  cr_assert_eq(pool.Rank(42).endpoints[0].get(), home.get());
+}
