--- a/src/forward/prefix_feed.cc
+++ b/src/forward/prefix_feed.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/mutant.h"
+#include "forward/key_value_backoff.h"
 #include "forward/log_events.h"
 
 namespace wagtailwind::forward {
@@ -21,12 +22,6 @@
 // for less than three seconds.
 constexpr std::chrono::milliseconds kPeerTimeout = 1'200ms;
 
-// The first retry is immediate, because a kept-alive connection may have been dead for long. Later
-// ones are randomised over a time that grows up to kMaxBackoff, so that the routers of a fleet do
-// not overload a recovering service.
-constexpr std::chrono::milliseconds kFirstBackoff = 100ms;
-constexpr std::chrono::milliseconds kMaxBackoff = 600ms;
-
 // The timers of the service have millisecond resolution and may expire this much too early.
 constexpr std::chrono::milliseconds kTimerResolution = 2ms;
 
@@ -214,11 +209,8 @@
   if (IsMutantEnabled("forwarder_gives_up_reading")) {
     return;
   }
-  constexpr int kMaxDoublings = 8;
-  const int doublings = std::clamp(m_failures - 2, 0, kMaxDoublings);
-  const auto ceiling = std::min(kMaxBackoff, kFirstBackoff * (1 << doublings));
-  ScheduleCall(ceiling / 2 + std::chrono::milliseconds(m_random.NextBelow(
-                                 static_cast<std::uint64_t>(ceiling.count()) / 2 + 1)));
+  // The first retry is immediate, because a kept-alive connection may have been dead for long.
+  ScheduleCall(KeyValueBackoff(m_random, m_failures - 2));
 }
 
 void PrefixFeed::FinishRange() {
--- a/src/forward/record_writer.cc
+++ b/src/forward/record_writer.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "forward/key_value_backoff.h"
 #include "forward/log_events.h"
 
 namespace wagtailwind::forward {
@@ -15,12 +16,6 @@
 constexpr std::chrono::milliseconds kAnswerTimeout = 700ms;
 constexpr std::chrono::milliseconds kConnectTimeout = 500ms;
 
-// Failed calls are repeated after a random time up to a limit that doubles, so that the routers of
-// a fleet do not overload a recovering service.
-constexpr std::chrono::milliseconds kFirstBackoff = 100ms;
-constexpr std::chrono::milliseconds kMaxBackoff = 600ms;
-constexpr int kMaxDoublings = 8;
-
 // Records share a lease for this time, so that a series of them costs one call for the lease.
 constexpr std::chrono::seconds kLeaseShareTime{10};
 
@@ -172,10 +167,7 @@
   m_in_call = 0;
   // An answer that is still to come would be taken for that to the next call.
   m_connection.reset();
-  const int doublings = std::min(m_failures++, kMaxDoublings);
-  const auto ceiling = std::min(kMaxBackoff, kFirstBackoff * (1 << doublings));
-  m_timer.Start(ceiling / 2 + std::chrono::milliseconds(m_random.NextBelow(
-                                  static_cast<std::uint64_t>(ceiling.count()) / 2 + 1)));
+  m_timer.Start(KeyValueBackoff(m_random, m_failures++));
 }
 
 void RecordWriter::CountCall(std::string_view result) {
