Decide in one place whether an endpoint had begun to answer a suspect prompt

The reports of crashes repeated the check of the quarantine. Behaviour is unchanged. Measured: unit_tests 414 of 414, lint of the changed files clean.

--- a/src/forward/crash_reports.cc
+++ b/src/forward/crash_reports.cc
@@ -26,11 +26,6 @@
 
 constexpr std::string_view kFolder = "crashes/";
 
-bool IsAnswering(const CrashReport& report) {
-  return std::any_of(report.prompts.begin(), report.prompts.end(),
-                     [](const SuspectPrompt& prompt) { return prompt.answering; });
-}
-
 }  // namespace
 
 CrashReports::CrashReports(ForwardContext& context, const DeploymentAdapter& adapter,
@@ -54,7 +49,7 @@
                          {"incarnation", report.incarnation},
                          {"lost", lost},
                          {"suspects", report.prompts.size()},
-                         {"answering", IsAnswering(report) ? 1 : 0}});
+                         {"answering", AnyAnswering(report.prompts) ? 1 : 0}});
   if (report.prompts.empty()) {
     return;
   }
@@ -78,7 +73,7 @@
     auto& prompts = pending->report.prompts;
     prompts.insert(prompts.end(), report.prompts.begin(), report.prompts.end());
   }
-  if (IsAnswering(report)) {
+  if (AnyAnswering(report.prompts)) {
     pending->timer->Start(kCollectTime);
   } else if (known == m_pending.end()) {
     constexpr auto kSpread =
@@ -91,7 +86,7 @@
 void CrashReports::Publish(std::list<Pending>::iterator pending) {
   CrashReport report = std::move(pending->report);
   m_pending.erase(pending);
-  if (IsAnswering(report)) {
+  if (AnyAnswering(report.prompts)) {
     std::erase_if(report.prompts, [](const SuspectPrompt& prompt) { return !prompt.answering; });
   } else if (m_context.quarantine.HasAnsweringSuspect(report)) {
     return;
--- a/src/forward/prompt_quarantine.cc
+++ b/src/forward/prompt_quarantine.cc
@@ -63,13 +63,13 @@
                      [parts](PromptPart part) { return Contains(parts, part); });
 }
 
-bool AnyAnswering(std::span<const SuspectPrompt> prompts) {
+}  // namespace
+
+bool AnyAnswering(std::span<const SuspectPrompt> prompts) noexcept {
   return std::any_of(prompts.begin(), prompts.end(),
                      [](const SuspectPrompt& prompt) { return prompt.answering; });
 }
 
-}  // namespace
-
 bool PromptQuarantine::BeganRecently(PromptPart part, SteadyTime now) const {
   const auto found = m_began.find(part);
   return found != m_began.end() && now - found->second <= kSoundTime;
--- a/src/forward/prompt_quarantine.h
+++ b/src/forward/prompt_quarantine.h
@@ -25,6 +25,9 @@
   bool answering = false;
 };
 
+/// \brief Returns whether the endpoint had begun to answer any of the prompts.
+[[nodiscard]] bool AnyAnswering(std::span<const SuspectPrompt> prompts) noexcept;
+
 /// \brief The suspect prompts that one router had at an endpoint when it crashed.
 struct CrashReport {
   EndpointName endpoint;
