Keep the load bound while prompts return to endpoints whose request limits have ended

Cause: when a limit ended, a router discarded all load reports of the service. Without the discarding, it had believed the high reports of the few endpoints that took the rest. Change: only the report of the endpoint itself is discarded. The other reports fall with the average of the pool's reports. An endpoint without a recent report is expected to have what this router's own requests there suggest, as a sample of all routers'. For 10 s, prompts leave their home at a lower load than usual.

--- a/src/forward/endpoint_ranking.cc
+++ b/src/forward/endpoint_ranking.cc
@@ -22,6 +22,10 @@
 constexpr LoadBound kLongPromptBound{1.8, 2.5};
 constexpr LoadBound kShortPromptBound{1.5, 1.5};
 
+// Factor on the bounds while prompts return to endpoints whose request limits have ended: all
+// routers send to them at the same time, before their reports show it.
+constexpr double kReturnBoundFactor = 0.6;
+
 // Number of shared tokens from which a prompt counts as long: an engine takes longer than one batch
 // step to process them.
 constexpr std::uint64_t kLongPromptTokens = 1'500;
@@ -142,12 +146,13 @@
 struct PoolLoad {
   /// Requests of this router.
   double own = 0;
-  /// Mean number of requests of other routers per endpoint, from the last reports.
-  double typical_others = 0;
+  /// From the last reports; without any, the others are assumed to have as much as this router.
+  TypicalLoad typical;
 };
 
-PoolLoad MeasurePool(std::span<const EndpointPtr> endpoints) {
+PoolLoad MeasurePool(std::span<const EndpointPtr> endpoints, std::size_t other_routers) {
   PoolLoad pool;
+  pool.typical.other_routers = other_routers;
   double others_total = 0;
   std::size_t reported = 0;
   for (const EndpointPtr& endpoint : endpoints) {
@@ -158,7 +163,10 @@
     }
   }
   if (reported > 0) {
-    pool.typical_others = others_total / static_cast<double>(reported);
+    pool.typical.others = others_total / static_cast<double>(reported);
+  } else if (!endpoints.empty()) {
+    pool.typical.others =
+        pool.own * static_cast<double>(other_routers) / static_cast<double>(endpoints.size());
   }
   return pool;
 }
@@ -184,7 +192,7 @@
 };
 
 Candidates FindCandidates(std::span<const EndpointPtr> endpoints, const RankingRequest& request,
-                          double typical_others, SteadyTime now) {
+                          const TypicalLoad& typical, SteadyTime now) {
   Candidates found;
   std::vector<Candidate> reserved;
   double total_load = 0;
@@ -192,8 +200,7 @@
     if (!CanServe(*endpoint, request)) {
       continue;
     }
-    const Candidate candidate{.endpoint = &endpoint,
-                              .load = endpoint->load.Requests(now, typical_others)};
+    const Candidate candidate{.endpoint = &endpoint, .load = endpoint->load.Requests(now, typical)};
     total_load += candidate.load;
     found.total_failure_rate += endpoint->health.FailureRate(now);
     found.oldest = std::min(found.oldest, endpoint->record.started_at);
@@ -230,8 +237,8 @@
 Ranking RankEndpoints(std::span<const EndpointPtr> endpoints, std::span<const EndpointPtr> draining,
                       const RankingRequest& request, SteadyTime now, RandomSource& random,
                       std::size_t limit) {
-  const PoolLoad pool = MeasurePool(endpoints);
-  const Candidates found = FindCandidates(endpoints, request, pool.typical_others, now);
+  const PoolLoad pool = MeasurePool(endpoints, request.other_routers);
+  const Candidates found = FindCandidates(endpoints, request, pool.typical, now);
   const std::vector<Candidate>& candidates = found.endpoints;
   const WallTime oldest = found.oldest;
   Ranking ranking;
@@ -254,7 +261,11 @@
   const bool has_limit_left = std::any_of(
       candidates.begin(), candidates.end(),
       [](const Candidate& candidate) { return (*candidate.endpoint)->quota.limit().has_value(); });
-  const double bound = limits.factor * mean + limits.slack;
+  const bool is_returning = std::any_of(
+      candidates.begin(), candidates.end(),
+      [now](const Candidate& candidate) { return (*candidate.endpoint)->load.IsReturning(now); });
+  const double bound =
+      (limits.factor * mean + limits.slack) * (is_returning ? kReturnBoundFactor : 1.0);
   const auto yields = [&](const Endpoint& endpoint, double load) {
     return has_limit_left && !endpoint.quota.limit() &&
            load > std::max(mean, kBusyFraction * endpoint.record.slots);
@@ -300,10 +311,11 @@
   const EndpointPtr& first = *scored.front().endpoint;
   ranking.at_home = preferred.Is(first);
   ranking.mean_load = mean;
+  ranking.typical = pool.typical;
   ranking.own_load = pool.own;
   // An endpoint that has not reported to this router is assumed to have the mean number of
   // requests.
-  ranking.others_load = pool.typical_others * static_cast<double>(endpoints.size());
+  ranking.others_load = pool.typical.others * static_cast<double>(endpoints.size());
   if (request.prompt) {
     const auto consider_cache = [&](const EndpointPtr& endpoint) {
       preferred_old.Update(endpoint,
--- a/src/forward/endpoint_ranking.h
+++ b/src/forward/endpoint_ranking.h
@@ -11,6 +11,7 @@
 #include "core/clock.h"
 #include "core/random_source.h"
 #include "forward/endpoint.h"
+#include "forward/load_estimate.h"
 #include "forward/prompt.h"
 
 namespace wagtailwind::forward {
@@ -28,6 +29,8 @@
   /// Whether the request costs an endpoint at least as much work as the average one. A limit counts
   /// requests, so the costly ones use it first.
   bool is_costly = true;
+  /// Number of other routers before the same endpoints.
+  std::size_t other_routers = 0;
   /// Maximum number of connections from this router to one endpoint; 0 means no limit.
   std::uint32_t max_connections = 0;
 };
@@ -45,6 +48,7 @@
   std::optional<std::chrono::nanoseconds> limit_wait;
   /// Mean load of the endpoints that can serve the request.
   double mean_load = 0;
+  TypicalLoad typical;
   /// Requests in flight at all endpoints of the service, from this router and from the others.
   double own_load = 0;
   double others_load = 0;
--- a/src/forward/endpoint_registry.cc
+++ b/src/forward/endpoint_registry.cc
@@ -44,8 +44,13 @@
     if (found != m_entries.end()) {
       Remove(found);
     }
+    std::shared_ptr<LoadReportAverage>& average = m_load_averages[record.service.value()];
+    if (!average) {
+      average = std::make_shared<LoadReportAverage>();
+    }
     auto endpoint = std::make_shared<Endpoint>();
     endpoint->record = record;
+    endpoint->load = LoadEstimate(average);
     endpoint->usable = !record.draining;
     m_entries.emplace(record.name.value(), Entry{.endpoint = std::move(endpoint)});
     m_lists_outdated = true;
--- a/src/forward/endpoint_registry.h
+++ b/src/forward/endpoint_registry.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -73,6 +74,8 @@
 
   std::function<void(const EndpointPtr&)> m_on_removed;
   std::map<std::string, Entry, std::less<>> m_entries;
+  /// By service.
+  std::map<std::string, std::shared_ptr<LoadReportAverage>, std::less<>> m_load_averages;
   /// Derived from the entries; m_lists_outdated tells whether they must be rebuilt.
   mutable std::map<std::string, std::vector<EndpointPtr>, std::less<>> m_usable;
   mutable std::map<std::string, std::vector<EndpointPtr>, std::less<>> m_draining;
--- a/src/forward/forward_context.cc
+++ b/src/forward/forward_context.cc
@@ -37,13 +37,7 @@
   }
   if (!limit) {
     endpoint.quota.RemoveLimit();
-    // The requests that the endpoint could not take have gone to the others. While these look
-    // loaded they would get no requests, and so no newer reports.
-    endpoints.ForEach([&endpoint](Endpoint& other) {
-      if (other.record.service == endpoint.record.service) {
-        other.load.ForgetReport();
-      }
-    });
+    endpoint.load.OnLimitEnded(clock.Now());
   } else {
     endpoint.quota.SetLimit(*limit, ShareOf(endpoint, *limit), clock.Now());
   }
@@ -56,6 +50,10 @@
   }
 }
 
+std::size_t ForwardContext::OtherRouters() const noexcept {
+  return std::max<std::size_t>(routers.size(), 1) - 1;
+}
+
 LimitShare ForwardContext::ShareOf(const Endpoint& endpoint, double limit) const {
   return DivideLimit(
       {.name = endpoint.record.name.value(), .zone = endpoint.record.zone, .limit = limit},
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -73,6 +73,9 @@
   /// \brief Replaces the list of routers, and divides all request limits anew.
   void SetRouters(std::vector<RouterInfo> all);
 
+  /// \brief Returns the number of other routers that are known.
+  [[nodiscard]] std::size_t OtherRouters() const noexcept;
+
   /// \brief Returns this router's share of an endpoint's request limit.
   [[nodiscard]] LimitShare ShareOf(const Endpoint& endpoint, double limit) const;
 
--- a/src/forward/forward_task.cc
+++ b/src/forward/forward_task.cc
@@ -219,6 +219,7 @@
   RankingRequest ranking;
   ranking.zone = m_context.zone;
   ranking.wall_now = m_context.clock.WallNow();
+  ranking.other_routers = m_context.OtherRouters();
   ranking.model = ModelName(std::string(http::FindHeader(headers, m_context.names.model)));
   const auto spec = m_configuration->services.find(m_service.value());
   if (spec != m_configuration->services.end()) {
@@ -234,6 +235,7 @@
   m_ranked = std::move(ranked.endpoints);
   m_at_home = ranked.at_home;
   m_mean_load = ranked.mean_load;
+  m_typical_load = ranked.typical;
   m_context.traffic_share.OnRequest(ranked.own_load, ranked.others_load);
   if (spec != m_configuration->services.end() && spec->second.shares_cache) {
     m_cached_at = std::move(ranked.cached_at);
--- a/src/forward/forward_task.h
+++ b/src/forward/forward_task.h
@@ -167,6 +167,7 @@
   /// endpoint is expected to have them.
   EndpointPtr m_cached_at;
   double m_mean_load = 0;
+  TypicalLoad m_typical_load;
 
   std::optional<router::RequestDecision> m_decision;
   /// Fires at the deadline; before the admission, polls for the first configuration.
--- a/src/forward/forward_task_attempts.cc
+++ b/src/forward/forward_task_attempts.cc
@@ -106,7 +106,7 @@
   Log(kAttemptStarted, {{"id", m_id},
                         {"attempt", step.attempt},
                         {"endpoint", endpoint->record.name.value()},
-                        {"load", endpoint->load.Requests(now)},
+                        {"load", endpoint->load.Requests(now, m_typical_load)},
                         {"mean_load", m_mean_load},
                         {"at_home", m_at_home ? 1 : 0},
                         {"limit", endpoint->quota.limit().value_or(-1)},
--- a/tests/unit/forward_endpoint_health_test.cc
+++ b/tests/unit/forward_endpoint_health_test.cc
@@ -1,3 +1,5 @@
+#include <memory>
+
 #include "forward/endpoint_health.h"
 #include "forward/load_estimate.h"
 #include "support/fake_clock.h"
@@ -11,6 +13,7 @@
 using wagtailwind::forward::AttemptFailure;
 using wagtailwind::forward::EndpointHealth;
 using wagtailwind::forward::LoadEstimate;
+using wagtailwind::forward::TypicalLoad;
 using wagtailwind::testing::FakeClock;
 
 }  // namespace
@@ -95,7 +98,48 @@
   LoadEstimate load;
   load.OnReport({.running = 30, .waiting = 10, .slots = 32}, clock.Now());
   clock.Advance(10s);
-  cr_assert_gt(load.Requests(clock.Now(), 5), 15);
+  cr_assert_gt(load.Requests(clock.Now(), {.others = 5}), 15);
   clock.Advance(50s);
-  cr_assert_float_eq(load.Requests(clock.Now(), 5), 5, 0.5);
+  cr_assert_float_eq(load.Requests(clock.Now(), {.others = 5}), 5, 0.5);
+}
+
+// Load pattern: a popular prompt arrives at many routers that have just started. Guards against
+// routers that take the endpoint for idle until it reports.
+Test(load_estimate, takes_own_requests_for_a_sample_of_the_others) {
+  FakeClock clock;
+  LoadEstimate load;
+  const TypicalLoad typical{.others = 9, .other_routers = 45};
+  const double idle = load.Requests(clock.Now(), typical);
+  cr_assert_lt(idle, 9);
+  load.OnSent();
+  load.OnSent();
+  cr_assert_gt(load.Requests(clock.Now(), typical), 1.5 * 9);
+  // A single router knows all requests.
+  cr_assert_float_eq(load.Requests(clock.Now(), {}), 2, 0.01);
+}
+
+// Load pattern: the few endpoints that took what limited ones could not are loaded when the limits
+// end. Guards against avoiding them for as long as their last reports are not replaced, and against
+// a last report that hides the prompts that return.
+Test(load_estimate, follows_the_load_of_the_pool_after_a_limit) {
+  FakeClock clock;
+  const auto average = std::make_shared<wagtailwind::forward::LoadReportAverage>();
+  LoadEstimate loaded(average);
+  LoadEstimate limited(average);
+  LoadEstimate other(average);
+  limited.OnReport({.running = 1, .waiting = 0, .slots = 32}, clock.Now());
+  for (int i = 0; i < 12; ++i) {
+    loaded.OnReport({.running = 40, .waiting = 0, .slots = 32}, clock.Now());
+  }
+  limited.OnLimitEnded(clock.Now());
+  cr_assert(!limited.ReportedOthers());
+  cr_assert(limited.IsReturning(clock.Now()));
+  for (int i = 0; i < 24; ++i) {
+    other.OnReport({.running = 10, .waiting = 0, .slots = 32}, clock.Now());
+  }
+  const TypicalLoad typical{.others = 10, .other_routers = 45};
+  cr_assert_lt(loaded.Requests(clock.Now(), typical), 20);
+  cr_assert_geq(loaded.Requests(clock.Now(), typical), 10);
+  clock.Advance(10s);
+  cr_assert(!limited.IsReturning(clock.Now()));
 }
