--- a/tests/unit/forward_load_bound_test.cc
+++ b/tests/unit/forward_load_bound_test.cc
@@ -105,6 +105,9 @@
     });
   }
 
+  /// Lets a share of the requests of the second kind have the same prompt.
+  void SetPopularShare(double share) { m_popular_share = share; }
+
   /// Serves requests for a time, and returns the share of them that reached endpoints above the
   /// platform's load bound.
   double Serve(nanoseconds time) {
@@ -174,8 +177,11 @@
     const auto router = static_cast<int>(m_random.NextBelow(kRouters));
     const std::uint64_t kind = m_random.NextBelow(kPrompts.size());
     const double drawn = m_random.NextFraction() * m_popularity.back();
-    const auto prompt = static_cast<std::uint64_t>(
+    auto prompt = static_cast<std::uint64_t>(
         std::lower_bound(m_popularity.begin(), m_popularity.end(), drawn) - m_popularity.begin());
+    if (kind == 1 && m_random.NextFraction() < m_popular_share) {
+      prompt = 0;
+    }
     forward::RankingRequest request;
     request.prompt = forward::SharedPrompt{.key = prompt * kPrompts.size() + kind + 1,
                                            .tokens = kPrompts[kind].shared_tokens};
@@ -218,6 +224,7 @@
   std::uint64_t m_generation = 0;
   /// Sums of the weights of the prompts, most popular first.
   std::vector<double> m_popularity;
+  double m_popular_share = 0;
   std::map<std::string, std::uint32_t> m_running;
   std::priority_queue<Event> m_events;
   SteadyTime m_next_arrival = m_clock.Now();
@@ -236,6 +243,19 @@
   }
 }
 
+// Load pattern: one prompt gets much of the traffic soon after the start of the fleet. Guards
+// against a home that takes more than its share of it before its load is known everywhere.
+Test(load_bound, holds_for_a_prompt_with_much_of_the_traffic) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    Fleet fleet(seed);
+    (void)fleet.Serve(3s);
+    fleet.SetPopularShare(0.15);
+    (void)fleet.Serve(3s);
+    const double share = fleet.Serve(kWindow);
+    cr_assert_leq(share, kToleratedShare, "seed %d: %f", static_cast<int>(seed), share);
+  }
+}
+
 // Load pattern: most endpoints name request limits for a while, and the others take what they
 // can't. Guards against routers that, when the limits end, return all prompts to endpoints whose
 // load none of them knows.
