Count endpoints that have not reported yet as idle again, and restore the load bounds

Change: the expectation serves only for endpoints whose request limit has ended, and for old reports. The bounds are what they were before.

--- a/src/forward/endpoint_ranking.cc
+++ b/src/forward/endpoint_ranking.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cmath>
 
 #include "core/hash.h"
 
@@ -20,16 +19,13 @@
 
 // The platform tolerates twice the mean plus three requests. The wide bound is lower because
 // routers see the load with a delay.
-constexpr LoadBound kLongPromptBound{1.75, 2.1};
-constexpr LoadBound kShortPromptBound{1.4, 1.0};
+constexpr LoadBound kLongPromptBound{1.8, 2.5};
+constexpr LoadBound kShortPromptBound{1.5, 1.5};
 
 // Factor on the bounds while prompts return to endpoints whose request limits have ended: all
 // routers send to them at the same time, before their reports show it.
 constexpr double kReturnBoundFactor = 0.6;
 
-// Factor on the bounds if no endpoint has reported its load, as after a restart of all routers.
-constexpr double kUnreportedBoundFactor = 0.8;
-
 // Number of shared tokens from which a prompt counts as long: an engine takes longer than one batch
 // step to process them.
 constexpr std::uint64_t kLongPromptTokens = 1'500;
@@ -150,10 +146,8 @@
 struct PoolLoad {
   /// Requests of this router.
   double own = 0;
-  /// From the last reports; without any, the others are assumed to have as much as this router.
+  /// From the last reports.
   TypicalLoad typical;
-  /// Share of the endpoints with a report.
-  double reported_share = 0;
 };
 
 PoolLoad MeasurePool(std::span<const EndpointPtr> endpoints, std::size_t other_routers) {
@@ -170,10 +164,6 @@
   }
   if (reported > 0) {
     pool.typical.others = others_total / static_cast<double>(reported);
-    pool.reported_share = static_cast<double>(reported) / static_cast<double>(endpoints.size());
-  } else if (!endpoints.empty()) {
-    pool.typical.others =
-        pool.own * static_cast<double>(other_routers) / static_cast<double>(endpoints.size());
   }
   return pool;
 }
@@ -271,10 +261,8 @@
   const bool is_returning = std::any_of(
       candidates.begin(), candidates.end(),
       [now](const Candidate& candidate) { return (*candidate.endpoint)->load.IsReturning(now); });
-  const double bound_factor = is_returning
-                                  ? kReturnBoundFactor
-                                  : std::lerp(kUnreportedBoundFactor, 1.0, pool.reported_share);
-  const double bound = (limits.factor * mean + limits.slack) * bound_factor;
+  const double bound =
+      (limits.factor * mean + limits.slack) * (is_returning ? kReturnBoundFactor : 1.0);
   const auto yields = [&](const Endpoint& endpoint, double load) {
     return has_limit_left && !endpoint.quota.limit() &&
            load > std::max(mean, kBusyFraction * endpoint.record.slots);
--- a/src/forward/load_estimate.cc
+++ b/src/forward/load_estimate.cc
@@ -85,7 +85,9 @@
   const double expected = typical.ExpectedOthers(m_own);
   const std::optional<double> reported = ReportedOthers();
   if (!reported) {
-    return m_own + expected;
+    // An endpoint that has not reported yet counts as idle: while most have not, as after a start
+    // of the router, this keeps the mean and the load bounds low.
+    return m_own + (m_limit_ended_at ? expected : 0);
   }
   // A fall of the pool's load explains that a report is too high, not that the endpoint has less
   // than the others.
--- a/src/forward/load_estimate.h
+++ b/src/forward/load_estimate.h
@@ -73,8 +73,8 @@
   [[nodiscard]] std::uint32_t own() const noexcept { return m_own; }
 
   /// \brief Returns the estimated number of requests of all routers at the endpoint, including
-  /// waiting ones. Without a report, it is what is expected from `typical`; an old report decays
-  /// towards that.
+  /// waiting ones. After a request limit, until the next report, it is what is expected from
+  /// `typical`; an old report decays towards that.
   [[nodiscard]] double Requests(SteadyTime now, const TypicalLoad& typical = {}) const noexcept;
 
   /// \brief Returns the requests of other routers at the last report, reduced in the proportion in
--- a/tests/unit/forward_endpoint_health_test.cc
+++ b/tests/unit/forward_endpoint_health_test.cc
@@ -103,11 +103,12 @@
   cr_assert_float_eq(load.Requests(clock.Now(), {.others = 5}), 5, 0.5);
 }
 
-// Load pattern: a popular prompt arrives at many routers that have just started. Guards against
-// routers that take the endpoint for idle until it reports.
+// Load pattern: a popular prompt returns from many routers to an endpoint whose request limit has
+// ended. Guards against routers that take the endpoint for idle until it reports.
 Test(load_estimate, takes_own_requests_for_a_sample_of_the_others) {
   FakeClock clock;
   LoadEstimate load;
+  load.OnLimitEnded(clock.Now());
   const TypicalLoad typical{.others = 9, .other_routers = 45};
   const double idle = load.Requests(clock.Now(), typical);
   cr_assert_lt(idle, 9);
--- a/tests/unit/forward_load_bound_test.cc
+++ b/tests/unit/forward_load_bound_test.cc
@@ -243,6 +243,17 @@
   }
 }
 
+// Load pattern: all routers begin to serve at the same time. Guards against homes of popular prompts
+// that take more than their share before their load is known.
+Test(load_bound, holds_from_the_first_second) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    Fleet fleet(seed);
+    (void)fleet.Serve(1s);
+    const double share = fleet.Serve(kWindow);
+    cr_assert_leq(share, kToleratedShare, "seed %d: %f", static_cast<int>(seed), share);
+  }
+}
+
 // Load pattern: one prompt gets much of the traffic soon after the start of the fleet. Guards
 // against a home that takes more than its share of it before its load is known everywhere.
 Test(load_bound, holds_for_a_prompt_with_much_of_the_traffic) {
