--- a/tests/unit/forward_load_bound_test.cc
+++ b/tests/unit/forward_load_bound_test.cc
@@ -243,8 +243,8 @@
   }
 }
 
-// Load pattern: all routers begin to serve at the same time. Guards against homes of popular prompts
-// that take more than their share before their load is known.
+// Load pattern: all routers begin to serve at the same time. Guards against homes of popular
+// prompts that take more than their share before their load is known.
 Test(load_bound, holds_from_the_first_second) {
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
     Fleet fleet(seed);
