--- a/tests/unit/forward_endpoint_ranking_test.cc
+++ b/tests/unit/forward_endpoint_ranking_test.cc
@@ -294,18 +294,10 @@
 Test(endpoint_ranking, moves_a_popular_prompt_before_any_report) {
   Pool pool(20);
   const EndpointPtr home = pool.Rank(42).endpoints[0];
-  const auto rank = [&pool] {
-    RankingRequest request;
-    request.prompt = SharedPrompt{.key = 42, .tokens = kLongPromptTokens};
-    request.wall_now = pool.clock.WallNow();
-    request.other_routers = 45;
-    return forward::RankEndpoints(pool.endpoints, pool.draining, request, pool.clock.Now(),
-                                  pool.random, 4);
-  };
-  cr_assert_eq(rank().endpoints[0].get(), home.get());
-  // Three requests of each of 46 routers are above the bound.
+  cr_assert_eq(pool.Rank(42).endpoints[0].get(), home.get());
+  // Three requests of one router are above the bound while all other endpoints count as idle.
   home->load.OnSent();
   home->load.OnSent();
   home->load.OnSent();
-  cr_assert_neq(rank().endpoints[0].get(), home.get());
+  cr_assert_neq(pool.Rank(42).endpoints[0].get(), home.get());
 }
