--- a/review/1/case.cc
+++ b/review/1/case.cpp
@@ -14,7 +14,7 @@
 #include <set>
 #include <thread>
 
-#include "support/lab.h"
+#include "support/lab.hpp"
 
 namespace review {
 
--- a/review/support/lab.cc
+++ b/review/support/lab.cpp
@@ -1,4 +1,4 @@
-#include "support/lab.h"
+#include "support/lab.hpp"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
--- a/review/support/lab.h
+++ b/review/support/lab.hpp
@@ -1,5 +1,5 @@
-#ifndef WAGTAILWIND_REVIEW_SUPPORT_LAB_H_
-#define WAGTAILWIND_REVIEW_SUPPORT_LAB_H_
+#ifndef WAGTAILWIND_REVIEW_SUPPORT_LAB_HPP_
+#define WAGTAILWIND_REVIEW_SUPPORT_LAB_HPP_
 
 #include <sys/types.h>
 
@@ -223,4 +223,4 @@
 
 }  // namespace review
 
-#endif  // WAGTAILWIND_REVIEW_SUPPORT_LAB_H_
+#endif  // WAGTAILWIND_REVIEW_SUPPORT_LAB_HPP_
