--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -217,6 +217,9 @@
   const bool leaves = m_trouble && static_cast<double>(caller) < kLeavingShare * kCallers;
   while (!m_stopping) {
     std::this_thread::sleep_for(std::chrono::duration<double>(pause(random)));
+    if (m_stopping) {
+      return;
+    }
     if (!connection.IsOpen()) {
       connection = Connection::Open(port);
       kept = false;
