--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,7 +1,7 @@
-// Both forwarders of a zone are stopped at the same time, as in a rolling stop of several machines.
-// Callers open connections ahead of their requests. Guards against a stopping forwarder that takes
-// a request after the time in which it can still finish a long stream, passes it on to a replica,
-// and cuts it at the end of its grace time.
+// Two of a zone's three forwarders are stopped at the same time, as in a rolling stop of several at
+// a time. Callers open connections ahead of their requests. Guards against a stopping forwarder
+// that takes a request after the time in which it can still finish a long stream, passes it on to a
+// replica, and cuts it at the end of its grace time.
 
 #include <signal.h>
 
@@ -30,7 +30,11 @@
 constexpr auto kGrace = 8s;
 constexpr auto kCountedTime = kGrace + 1s;
 
-constexpr int kForwarders = 2;
+// Two of five machines are stopped at once, below the largest dose of `roll_term` in the site file:
+// a share of 0.45, 7 at a time. The callers are those of the first zone.
+constexpr int kForwarders = 5;
+constexpr int kZoneForwarders = 3;
+constexpr int kStopped = 2;
 constexpr int kReplicas = 3;
 
 // Half of the stream requests of the site, for the two forwarders of one zone.
@@ -81,7 +85,7 @@
   std::atomic<bool> m_stopping = false;
   std::atomic<std::uint64_t> m_last_id = 0;
   std::atomic<int> m_complete = 0;
-  std::array<std::atomic<bool>, kForwarders> m_in_rotation{};
+  std::array<std::atomic<bool>, kZoneForwarders> m_in_rotation{};
 
   std::mutex m_mutex;
   std::mt19937 m_random{std::random_device{}()};
@@ -137,9 +141,9 @@
 }
 
 void Case::CheckReadiness() {
-  std::array<int, kForwarders> misses{};
+  std::array<int, kZoneForwarders> misses{};
   while (!m_stopping) {
-    for (std::size_t i = 0; i < kForwarders; ++i) {
+    for (std::size_t i = 0; i < kZoneForwarders; ++i) {
       misses[i] = m_forwarders[i]->WaitUntilReady(0ms) ? 0 : misses[i] + 1;
       const bool in_rotation = misses[i] < 2;
       if (in_rotation != m_in_rotation[i].exchange(in_rotation)) {
@@ -153,15 +157,16 @@
 
 std::size_t Case::ChooseForwarder() {
   std::vector<std::size_t> choices;
-  for (std::size_t i = 0; i < kForwarders; ++i) {
+  for (std::size_t i = 0; i < kZoneForwarders; ++i) {
     if (m_in_rotation[i]) {
       choices.push_back(i);
     }
   }
   const std::lock_guard lock(m_mutex);
-  // With fewer than half of the zone's daemons in rotation, the platform uses all of them.
-  if (2 * choices.size() < kForwarders) {
-    return m_random() % kForwarders;
+  // With fewer than half of the zone's daemons in rotation, but not none, the platform uses all of
+  // them. With none, it would use another zone's.
+  if (2 * choices.size() < kZoneForwarders) {
+    return m_random() % kZoneForwarders;
   }
   return choices[m_random() % choices.size()];
 }
@@ -233,9 +238,9 @@
     AddReplica(i);
   }
   for (int i = 0; i < kForwarders; ++i) {
-    m_forwarders.push_back(std::make_unique<Forwarder>(m_program, m_template, m_folder,
-                                                       "front-" + std::to_string(i + 1),
-                                                       "colombo-a", m_store.Address()));
+    m_forwarders.push_back(std::make_unique<Forwarder>(
+        m_program, m_template, m_folder, "front-" + std::to_string(i + 1),
+        i < kZoneForwarders ? "colombo-a" : "colombo-b", m_store.Address()));
     m_forwarders.back()->Start();
   }
   for (const auto& forwarder : m_forwarders) {
@@ -255,9 +260,9 @@
     if (m_trouble && !m_stopped_at && Steady::now() >= begin + kWarmUpTime) {
       const std::lock_guard lock(m_mutex);
       m_stopped_at = Steady::now();
-      for (const auto& forwarder : m_forwarders) {
-        forwarder->Signal(SIGTERM);
-        m_record.Write("SIGTERM to " + forwarder->name());
+      for (std::size_t i = 0; i < kStopped; ++i) {
+        m_forwarders[i]->Signal(SIGTERM);
+        m_record.Write("SIGTERM to " + m_forwarders[i]->name());
       }
     }
   }
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,5 +1,5 @@
-// A forwarder is stopped as planned while a replica preempts some of its streams, which pause for
-// less time than their callers wait. The other replica of the service is full. Guards against a
+// A forwarder is stopped as planned while a replica preempts its newest stream, which pauses for
+// less time than its caller waits. The other replica of the service is full. Guards against a
 // forwarder that ends a sound answer because its replica is silent.
 
 #include <signal.h>
@@ -40,7 +40,7 @@
 // Callers abandon a stream after a gap of 2.4 s: eight times the pause of 300 ms that the sheet
 // allows.
 constexpr auto kPreemptedTime = 1'600ms;
-constexpr int kPreempted = 5;
+constexpr int kPreempted = 1;
 
 constexpr std::string_view kHost = "trays.example";
 constexpr std::string_view kKey = "n2ctnfzs989anu6wsjnb";
