Drop parts of an answer whose caller has left instead of crashing

After its caller has left, the call goes on without a sink, and ForwardTask::ReadBuffered passed the next part on without checking that there is one: signal 11. Change: without a sink, parts are dropped. Related paths: a pause of reading for a slow caller ends when that caller leaves, so that the endpoint can end its work; and an answer that nobody reads ends after 512 KB, not at the deadline. Why it works: the only uses of the sink outside of the response's end are behind the check now, for buffered answers and events.

--- a/src/forward/forward_task.h
+++ b/src/forward/forward_task.h
@@ -98,6 +98,8 @@
   /// Starts the timer that moves a repeatable request away from a silent endpoint.
   void RestartSilenceTimer();
   void OnDeadlineTimer();
+  /// Ends the request and its current attempt.
+  void Abort(requests::FailureReason reason);
   [[nodiscard]] std::chrono::nanoseconds TimeLeft() const;
   /// @}
 
@@ -125,6 +127,11 @@
   void EndErrorAnswer();
   /// Passes bytes on to the caller, and stops reading while too many are queued for it.
   void PassOn(std::string_view bytes);
+  /// Continues to read the answer after a pause for a slow caller.
+  void ResumeReading();
+  /// Counts bytes of an answer whose caller has disconnected, and ends the request after too many.
+  void CountUnreadBytes(std::size_t count);
+  [[nodiscard]] bool HasTooManyUnreadBytes() const noexcept;
   /// Updates the memory that this request counts for in the process's budget.
   void CountMemory();
   void FinishAnswer();
@@ -203,6 +210,8 @@
 
   /// Whether any attempt was written to a connection.
   bool m_any_sent = false;
+  /// Bytes of answers that arrived after the caller had disconnected.
+  std::size_t m_unread_bytes = 0;
   /// Bytes that this request counts for in the process's budget.
   std::size_t m_counted_memory = 0;
   /// Head of the first response that began a stream, which is used for the response to the caller.
--- a/src/forward/forward_task_answer.cc
+++ b/src/forward/forward_task_answer.cc
@@ -24,7 +24,11 @@
 // attempt.
 constexpr std::size_t kMaxBufferedBytes = 512U << 10U;
 
-// The same while the process holds too many answers.
+// An answer whose caller has disconnected is read on, so that the endpoint can end its work, but
+// not without end.
+constexpr std::size_t kMaxUnreadBytes = kMaxBufferedBytes;
+
+// Limit of queued bytes while the process holds too many answers.
 constexpr std::size_t kMinQueuedBytes = 16U << 10U;
 
 // A stalled answer that sends single bytes must not count as progressing: the silence timer
@@ -167,9 +171,21 @@
   } else {
     ReadErrorBody(part);
   }
+  if (m_sink == nullptr) {
+    CountUnreadBytes(part.size());
+  }
   CountMemory();
 }
 
+void ForwardTask::CountUnreadBytes(std::size_t count) {
+  m_unread_bytes += count;
+  if (m_unread_bytes > kMaxUnreadBytes) {
+    // The connection can't be closed while it reports bytes.
+    m_connection->connection->StopReading();
+    m_silence_timer.Start(0ns);
+  }
+}
+
 void ForwardTask::ReadEvents(std::string_view part) {
   const bool is_valid = m_framer.Feed(
       part,
@@ -182,11 +198,11 @@
 }
 
 void ForwardTask::ReadBuffered(std::string_view part) {
-  if (m_stream_began) {
-    PassOn(part);
+  if (m_sink == nullptr) {
     return;
   }
-  if (m_sink == nullptr) {
+  if (m_stream_began) {
+    PassOn(part);
     return;
   }
   m_answer_body.append(part);
@@ -294,12 +310,20 @@
 
 void ForwardTask::OnSinkDrained() {
   CountMemory();
+  ResumeReading();
+}
+
+void ForwardTask::ResumeReading() {
   if (std::exchange(m_reading_paused, false) && m_connection) {
     m_connection->connection->StartReading();
     RestartSilenceTimer();
   }
 }
 
+bool ForwardTask::HasTooManyUnreadBytes() const noexcept {
+  return m_sink == nullptr && m_unread_bytes > kMaxUnreadBytes;
+}
+
 bool ForwardTask::IsBrokenStream() const noexcept {
   const bool has_end = m_answer_head.chunked || m_answer_head.content_length;
   return m_kind == AnswerKind::kEvents && !has_end && (m_events == 0 || m_framer.IsInsideEvent());
--- a/src/forward/forward_task_attempts.cc
+++ b/src/forward/forward_task_attempts.cc
@@ -254,6 +254,10 @@
   if (!m_connection) {
     return;
   }
+  if (HasTooManyUnreadBytes()) {
+    Abort(FailureReason::kCancelled);
+    return;
+  }
   if (IsErrorAnswer()) {
     EndErrorAnswer();
     return;
@@ -280,7 +284,11 @@
     Start();
     return;
   }
-  const router::Step step = m_decision->OnAbort(FailureReason::kDeadlineExceeded);
+  Abort(FailureReason::kDeadlineExceeded);
+}
+
+void ForwardTask::Abort(FailureReason reason) {
+  const router::Step step = m_decision->OnAbort(reason);
   if (m_connection) {
     CancelAttempt();
   }
--- a/src/forward/forward_task_response.cc
+++ b/src/forward/forward_task_response.cc
@@ -183,6 +183,9 @@
        {"events", m_events},
        {"goes_on", goes_on ? 1 : 0},
        {"after_ms", detail::ToMilliseconds(m_context.clock.Now() - m_request.received_at)}});
+  if (goes_on) {
+    ResumeReading();
+  }
   return goes_on;
 }
 
