Refuse late requests of a planned stop that may outlast it

Cause: the admission did not know of the stop. A connection that was opened before the listener closed, at 2.5 s, may wait 1 s for its first request, which was taken whatever its deadline. Change: the schedule of the stop stands in the context. From 2.5 s on, a request whose deadline lies beyond the end of the stop is refused with 503 and a Retry-After of 25 to 75 ms, so that its retry reaches another router. Shorter ones are served. Why it works: what is taken after 2.5 s ends by its deadline, before the stop cuts anything.

--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -29,6 +29,14 @@
 
 namespace wagtailwind::forward {
 
+/// \brief Times of a planned stop.
+struct StopSchedule {
+  /// Time from which a request is refused if it may outlast the stop.
+  SteadyTime refuse_long_from{};
+  /// Time at which the requests that still run are cut.
+  SteadyTime end{};
+};
+
 /// \brief State that is shared by all requests of a router. Used only on the thread of the event
 /// loop.
 struct ForwardContext {
@@ -62,6 +70,8 @@
   std::function<void(const EndpointPtr& endpoint, std::optional<double> limit)> on_request_limit;
   /// Answers that have been received and not yet been sent to their callers.
   MemoryBudget answer_memory;
+  /// Empty until a planned stop begins.
+  std::optional<StopSchedule> stop{};
 
   /// \brief Returns whether the configuration was confirmed recently to be the newest. If so,
   /// unknown routes and keys can be refused permanently, and the router is ready for callers.
--- a/src/forward/forward_task.cc
+++ b/src/forward/forward_task.cc
@@ -38,6 +38,13 @@
 constexpr std::chrono::milliseconds kRetryWhenNotReady = 500ms;
 constexpr std::chrono::milliseconds kRetryWhenNotConfirmed = 300ms;
 
+// Retry-After of a router that stops. The balancer leads the retry to another router, which can
+// serve it at once.
+constexpr std::chrono::milliseconds kRetryWhenStopping = 50ms;
+
+// Time to deliver the answer of a request that ended at its deadline.
+constexpr std::chrono::milliseconds kDeliveryTime = 100ms;
+
 // Retry-After while all endpoints have reached their request limits. Another router, to which the
 // caller's retry may come, has shares of other endpoints.
 constexpr std::chrono::milliseconds kMinRetryWhenLimited = 200ms;
@@ -78,7 +85,7 @@
     return;
   }
   ReadDeadline();
-  if (!CheckPrompt() || !FindEndpoints()) {
+  if (!CheckStop() || !CheckPrompt() || !FindEndpoints()) {
     return;
   }
   if (!IsMutantEnabled("forwarder_has_no_time_limit")) {
@@ -167,6 +174,17 @@
   m_deadline = m_request.received_at + limit;
 }
 
+bool ForwardTask::CheckStop() {
+  const auto& stop = m_context.stop;
+  const bool may_be_cut = stop && m_context.clock.Now() >= stop->refuse_long_from &&
+                          m_deadline > stop->end - kDeliveryTime;
+  if (may_be_cut && !IsMutantEnabled("forwarder_takes_requests_until_it_stops")) {
+    Refuse(detail::kStatusUnavailable, FailureReason::kDraining, kRetryWhenStopping);
+    return false;
+  }
+  return true;
+}
+
 std::optional<ServiceName> ForwardTask::ChooseService() const {
   std::uint64_t total = 0;
   for (const WeightedService& candidate : m_route->services) {
--- a/src/forward/forward_task.h
+++ b/src/forward/forward_task.h
@@ -71,6 +71,9 @@
   [[nodiscard]] bool IsQuarantined() const;
   [[nodiscard]] bool FindEndpoints();
   void ReadDeadline();
+  /// Refuses a request that arrives late in a planned stop, if it may be cut at the end of the
+  /// stop.
+  [[nodiscard]] bool CheckStop();
   [[nodiscard]] std::optional<ServiceName> ChooseService() const;
   /// @}
 
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -17,7 +17,8 @@
 using namespace std::chrono_literals;
 
 // The load balancer removes a router after two failed checks one second apart. Until then, new
-// connections still arrive.
+// connections still arrive. Later requests come on connections that were open before, and are
+// refused if they may outlast the stop.
 constexpr std::chrono::milliseconds kListenTimeWhileStopping = 2'500ms;
 
 // Part of the grace time that is reserved for the shutdown itself.
@@ -259,7 +260,7 @@
 Forwarder::~Forwarder() = default;
 
 bool Forwarder::IsReady() const {
-  return !m_stopping && m_context.configuration && m_context.endpoints_known &&
+  return !m_context.stop && m_context.configuration && m_context.endpoints_known &&
          m_context.IsConfirmed();
 }
 
@@ -274,7 +275,7 @@
   if (ready != std::exchange(m_was_ready, ready)) {
     Log(kReadinessChanged,
         {{"ready", ready ? 1 : 0},
-         {"stopping", m_stopping ? 1 : 0},
+         {"stopping", m_context.stop ? 1 : 0},
          {"configuration", m_context.configuration ? m_context.configuration->version : 0},
          {"endpoints", m_context.endpoints.Size()},
          {"confirmed_ms",
@@ -304,10 +305,12 @@
 }
 
 void Forwarder::BeginStop() {
-  if (std::exchange(m_stopping, true)) {
+  if (m_context.stop) {
     return;
   }
-  m_stop_started_at = m_context.clock.Now();
+  const SteadyTime now = m_context.clock.Now();
+  m_context.stop = {.refuse_long_from = now + kListenTimeWhileStopping,
+                    .end = now + m_context.bounds.grace - kStopMargin};
   Log(kForwarderStopping, {{"sessions", m_callers->m_sessions.Size()}});
   if (IsMutantEnabled("forwarder_stops_at_once")) {
     ForceStop();
@@ -321,8 +324,7 @@
     ForceStop();
     return;
   }
-  const auto left =
-      m_context.bounds.grace - kStopMargin - (m_context.clock.Now() - m_stop_started_at);
+  const auto left = m_context.stop->end - m_context.clock.Now();
   if (m_caller_listener->HasPendingConnection() && left > kAcceptPollInterval) {
     m_stop_timer.Start(kAcceptPollInterval);
     return;
@@ -333,7 +335,7 @@
 }
 
 void Forwarder::CheckStopped() {
-  if (m_stopping && !m_caller_listener && m_callers->IsEmpty()) {
+  if (m_context.stop && !m_caller_listener && m_callers->IsEmpty()) {
     ForceStop();
   }
 }
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -85,9 +85,7 @@
   net::Timer m_tick;
   net::Timer m_stop_timer;
   bool m_was_ready = false;
-  bool m_stopping = false;
   bool m_stopped = false;
-  SteadyTime m_stop_started_at{};
 };
 
 }  // namespace wagtailwind::forward
--- a/tests/unit/forward_stop_test.cc
+++ b/tests/unit/forward_stop_test.cc
@@ -30,7 +30,14 @@
 constexpr std::chrono::milliseconds kShortlyBeforeClosing = 2'400ms;
 
 struct StoppingForwarder : SingleEndpoint {
-  StoppingForwarder() : SingleEndpoint(TestRoute(RequestKind::kIdempotent), AnswerOk) {}
+  explicit StoppingForwarder(std::chrono::milliseconds route_timeout = 2'000ms)
+      : SingleEndpoint(RouteWithTimeout(route_timeout), AnswerOk) {}
+
+  static forward::Route RouteWithTimeout(std::chrono::milliseconds timeout) {
+    auto route = TestRoute(RequestKind::kIdempotent);
+    route.timeout = timeout;
+    return route;
+  }
 
   /// Begins the stop and runs the loop until shortly before the listener closes.
   void BeginStop() {
@@ -74,6 +81,30 @@
   cr_assert(fleet.GetsAnswer(caller));
 }
 
+// Guards against passing on a request that arrives so late in a planned stop that the end of the
+// stop may cut it.
+Test(forward_stop, refuses_a_late_request_that_may_outlast_the_stop, .timeout = 30) {
+  StoppingForwarder fleet(6'000ms);
+  fleet.BeginStop();
+  RawConnection caller(fleet.forwarder->CallerAddress());
+  fleet.loop.RunFor(300ms);
+  caller.Write(testing::RequestText());
+  fleet.loop.RunFor(100ms);
+  const std::string received = caller.ReadToEnd();
+  cr_assert_neq(received.find(" 503 "), std::string::npos);
+  cr_assert_neq(received.find("Retry-After: "), std::string::npos);
+  cr_assert_eq(fleet.endpoint.requests, 0);
+}
+
+// Guards against refusing long requests while the load balancer still leads callers to the router.
+Test(forward_stop, answers_a_long_request_that_arrives_early, .timeout = 30) {
+  StoppingForwarder fleet(20'000ms);
+  RawConnection caller(fleet.forwarder->CallerAddress());
+  fleet.forwarder->BeginStop();
+  caller.Write(testing::RequestText());
+  cr_assert(fleet.GetsAnswer(caller));
+}
+
 // Guards against resetting a kept connection on which a request has arrived that was not read yet.
 Test(forward_stop, answers_a_request_on_a_kept_connection, .timeout = 30) {
   StoppingForwarder fleet;
--- a/tests/unit/mutants_test.sh
+++ b/tests/unit/mutants_test.sh
@@ -13,6 +13,7 @@
   [forwarder_quarantines_no_prompts]=forward_crashing_prompt/goes_to_few_endpoints
   [forwarder_ignores_limits]=forward_request_limit/is_kept_while_the_other_endpoint_serves_the_rest
   [forwarder_returns_prompts_at_once]=load_bound/holds_soon_after_request_limits
+  [forwarder_takes_requests_until_it_stops]=forward_stop/refuses_a_late_request_that_may_outlast_the_stop
   [forwarder_closes_new_connections]=forward_stop/answers_the_first_request_of_a_new_connection
 )
 passed=0
