Keep the state of an attempt in one object

Preparation for attempts that are set aside. No change of behaviour: fields of ForwardTask that belong to the current attempt move into ForwardTask::Attempt, and a new attempt starts with a new object.

--- a/src/forward/forward_task.cc
+++ b/src/forward/forward_task.cc
@@ -64,7 +64,7 @@
       m_retry_timer(context.loop, [this] { OnRetryTimer(); }) {}
 
 ForwardTask::~ForwardTask() {
-  if (m_connection) {
+  if (m_current.connection) {
     CancelAttempt();
   }
   m_context.answer_memory.Release(m_counted_memory);
--- a/src/forward/forward_task.h
+++ b/src/forward/forward_task.h
@@ -52,6 +52,29 @@
     kInvalid,
   };
 
+  /// State of one attempt.
+  struct Attempt {
+    std::uint32_t number = 0;
+    std::optional<EndpointConnection> connection{};
+    bool sent = false;
+    SteadyTime sent_at{};
+    AnswerKind kind = AnswerKind::kNone;
+    http1::MessageHead answer_head{};
+    std::string answer_body{};
+    /// Size of the body at the last restart of the silence timer.
+    std::size_t counted_progress = 0;
+    std::size_t error_bytes = 0;
+    /// Size of events that the caller had already received.
+    std::size_t repeated_bytes = 0;
+    std::string_view invalid_reason{};
+    EventFramer framer{};
+    bool reading_paused = false;
+    /// The request was not written, because it was too late for that.
+    bool withdrawn = false;
+    /// Time of the last event of this attempt.
+    std::optional<SteadyTime> last_event_at{};
+  };
+
   /// \name Admission
   /// @{
   [[nodiscard]] bool FindRoute();
@@ -187,29 +210,8 @@
   net::Timer m_retry_timer;
   router::Step m_delayed_step;
 
-  /// \name The current attempt
-  /// @{
-  std::uint32_t m_attempt = 0;
   EndpointName m_last_endpoint;
-  std::optional<EndpointConnection> m_connection;
-  bool m_sent = false;
-  SteadyTime m_sent_at{};
-  AnswerKind m_kind = AnswerKind::kNone;
-  http1::MessageHead m_answer_head;
-  std::string m_answer_body;
-  /// Size of the body at the last restart of the silence timer.
-  std::size_t m_counted_progress = 0;
-  std::size_t m_error_bytes = 0;
-  /// Size of events that the caller had already received.
-  std::size_t m_repeated_bytes = 0;
-  std::string_view m_invalid_reason;
-  EventFramer m_framer;
-  bool m_reading_paused = false;
-  /// The request was not written, because it was too late for that.
-  bool m_withdrawn = false;
-  /// Time of the last event of this attempt.
-  std::optional<SteadyTime> m_last_event_at;
-  /// @}
+  Attempt m_current;
 
   /// Whether any attempt was written to a connection.
   bool m_any_sent = false;
--- a/src/forward/forward_task_answer.cc
+++ b/src/forward/forward_task_answer.cc
@@ -65,20 +65,21 @@
 }  // namespace
 
 bool ForwardTask::UpdateRequest(std::string& request) {
-  m_withdrawn = !m_connection->endpoint->usable || TimeLeft() <= 0ns || !IsKeyAccepted();
-  if (m_withdrawn) {
+  m_current.withdrawn =
+      !m_current.connection->endpoint->usable || TimeLeft() <= 0ns || !IsKeyAccepted();
+  if (m_current.withdrawn) {
     return false;
   }
   // The time left has changed while the connection was established.
-  request = RequestText(m_connection->endpoint);
+  request = RequestText(m_current.connection->endpoint);
   return true;
 }
 
 void ForwardTask::OnSending() {
-  m_sent = true;
+  m_current.sent = true;
   m_any_sent = true;
-  m_connection->endpoint->health.OnSent(m_context.clock.Now());
-  m_decision->OnHandedOver(m_attempt);
+  m_current.connection->endpoint->health.OnSent(m_context.clock.Now());
+  m_decision->OnHandedOver(m_current.number);
 }
 
 ForwardTask::AnswerKind ForwardTask::Classify(const http1::MessageHead& head) const {
@@ -104,7 +105,7 @@
 void ForwardTask::RecordLoadReport(const http1::MessageHead& head) {
   const auto report = ParseLoad(http::FindHeader(head.headers, m_context.names.load));
   if (report) {
-    m_connection->endpoint->load.OnReport(*report, m_context.clock.Now());
+    m_current.connection->endpoint->load.OnReport(*report, m_context.clock.Now());
   }
 }
 
@@ -115,58 +116,59 @@
                                       !http::FindHeader(head.headers, names.not_run).empty());
   // Bytes of another process, or none that the endpoint meant, say nothing of its limit.
   if (is_endpoints_own) {
-    m_context.on_request_limit(m_connection->endpoint, ParseRequestLimit(http::FindHeader(
-                                                           head.headers, names.request_limit)));
+    m_context.on_request_limit(
+        m_current.connection->endpoint,
+        ParseRequestLimit(http::FindHeader(head.headers, names.request_limit)));
   }
 }
 
 bool ForwardTask::OnResponseHead(http1::MessageHead head) {
-  m_connection->endpoint->health.OnBytesReceived(m_context.clock.Now());
+  m_current.connection->endpoint->health.OnBytesReceived(m_context.clock.Now());
   const std::string_view id = http::FindHeader(head.headers, m_context.names.attempt_id);
   // Without an id, only the first response on a connection certainly belongs to this request.
-  const bool belongs = (id.empty() ? !m_connection->reused : id == m_id) ||
+  const bool belongs = (id.empty() ? !m_current.connection->reused : id == m_id) ||
                        IsMutantEnabled("forwarder_accepts_late_copies");
   if (!belongs) {
     Log(kAnswerSkipped, {{"id", m_id},
                          {"answer_id", id},
-                         {"endpoint", m_connection->endpoint->record.name.value()},
+                         {"endpoint", m_current.connection->endpoint->record.name.value()},
                          {"status", head.status}});
     return false;
   }
   RecordLoadReport(head);
   RecordRequestLimit(head);
-  m_kind = Classify(head);
-  if (m_kind == AnswerKind::kBuffered && m_stream_began) {
+  m_current.kind = Classify(head);
+  if (m_current.kind == AnswerKind::kBuffered && m_stream_began) {
     // The caller has received events of an earlier attempt, which only further events may follow.
-    m_kind = AnswerKind::kInvalid;
+    m_current.kind = AnswerKind::kInvalid;
   }
-  if (m_kind == AnswerKind::kBuffered || m_kind == AnswerKind::kEvents) {
-    m_decision->OnAdmitted(m_attempt);
-    m_decision->OnHead(m_attempt);
+  if (m_current.kind == AnswerKind::kBuffered || m_current.kind == AnswerKind::kEvents) {
+    m_decision->OnAdmitted(m_current.number);
+    m_decision->OnHead(m_current.number);
   }
-  if (m_kind == AnswerKind::kEvents && !m_stream_head) {
+  if (m_current.kind == AnswerKind::kEvents && !m_stream_head) {
     m_stream_head = head;
   }
   if (IsErrorAnswer()) {
-    m_invalid_reason = kUnusableAnswer;
+    m_current.invalid_reason = kUnusableAnswer;
     m_silence_timer.Start(kErrorBodyTimeout);
-  } else if (m_kind == AnswerKind::kBuffered) {
+  } else if (m_current.kind == AnswerKind::kBuffered) {
     RestartSilenceTimer();
   }
-  m_answer_head = std::move(head);
+  m_current.answer_head = std::move(head);
   return true;
 }
 
 bool ForwardTask::IsErrorAnswer() const noexcept {
-  return m_kind == AnswerKind::kRefusal || m_kind == AnswerKind::kOtherProcess ||
-         m_kind == AnswerKind::kFailure || m_kind == AnswerKind::kInvalid;
+  return m_current.kind == AnswerKind::kRefusal || m_current.kind == AnswerKind::kOtherProcess ||
+         m_current.kind == AnswerKind::kFailure || m_current.kind == AnswerKind::kInvalid;
 }
 
 void ForwardTask::OnResponseBody(std::string_view part) {
-  m_connection->endpoint->health.OnBytesReceived(m_context.clock.Now());
-  if (m_kind == AnswerKind::kBuffered) {
+  m_current.connection->endpoint->health.OnBytesReceived(m_context.clock.Now());
+  if (m_current.kind == AnswerKind::kBuffered) {
     ReadBuffered(part);
-  } else if (m_kind == AnswerKind::kEvents) {
+  } else if (m_current.kind == AnswerKind::kEvents) {
     ReadEvents(part);
   } else {
     ReadErrorBody(part);
@@ -181,18 +183,18 @@
   m_unread_bytes += count;
   if (m_unread_bytes > kMaxUnreadBytes) {
     // The connection can't be closed while it reports bytes.
-    m_connection->connection->StopReading();
+    m_current.connection->connection->StopReading();
     m_silence_timer.Start(0ns);
   }
 }
 
 void ForwardTask::ReadEvents(std::string_view part) {
-  const bool is_valid = m_framer.Feed(
+  const bool is_valid = m_current.framer.Feed(
       part,
       [this](std::string_view event, std::optional<std::uint64_t> id) { OnEvent(event, id); });
   if (!is_valid) {
     AbandonAnswer("event exceeds the limit");
-  } else if (m_repeated_bytes > kMaxRepeatedBytes) {
+  } else if (m_current.repeated_bytes > kMaxRepeatedBytes) {
     AbandonAnswer("stream only repeats events");
   }
 }
@@ -205,47 +207,47 @@
     PassOn(part);
     return;
   }
-  m_answer_body.append(part);
-  if (m_answer_body.size() - m_counted_progress >= kProgressBytes) {
-    m_counted_progress = m_answer_body.size();
+  m_current.answer_body.append(part);
+  if (m_current.answer_body.size() - m_current.counted_progress >= kProgressBytes) {
+    m_current.counted_progress = m_current.answer_body.size();
     RestartSilenceTimer();
   }
-  if (m_answer_body.size() <= kMaxBufferedBytes && !m_context.answer_memory.IsExhausted()) {
+  if (m_current.answer_body.size() <= kMaxBufferedBytes && !m_context.answer_memory.IsExhausted()) {
     return;
   }
-  m_stream_head = m_answer_head;
+  m_stream_head = m_current.answer_head;
   BeginStreamToCaller();
   PinAttempt();
   m_silence_timer.Cancel();
-  PassOn(m_answer_body);
-  std::string().swap(m_answer_body);
+  PassOn(m_current.answer_body);
+  std::string().swap(m_current.answer_body);
 }
 
 void ForwardTask::ReadErrorBody(std::string_view part) {
-  m_error_bytes += part.size();
-  if (m_error_bytes > kMaxErrorBytes) {
+  m_current.error_bytes += part.size();
+  if (m_current.error_bytes > kMaxErrorBytes) {
     AbandonAnswer("error response exceeds the limit");
-  } else if (m_kind == AnswerKind::kFailure) {
-    m_answer_body.append(part);
+  } else if (m_current.kind == AnswerKind::kFailure) {
+    m_current.answer_body.append(part);
   }
 }
 
 void ForwardTask::AbandonAnswer(std::string_view reason) {
-  if (m_kind != AnswerKind::kRefusal && m_kind != AnswerKind::kOtherProcess) {
-    m_kind = AnswerKind::kInvalid;
-    m_invalid_reason = reason;
+  if (m_current.kind != AnswerKind::kRefusal && m_current.kind != AnswerKind::kOtherProcess) {
+    m_current.kind = AnswerKind::kInvalid;
+    m_current.invalid_reason = reason;
   }
-  m_answer_body.clear();
-  m_framer.Reset();
+  m_current.answer_body.clear();
+  m_current.framer.Reset();
   // The connection can't be closed while it reports bytes.
-  m_connection->connection->StopReading();
+  m_current.connection->connection->StopReading();
   m_silence_timer.Start(0ns);
 }
 
 void ForwardTask::EndErrorAnswer() {
-  if (m_kind == AnswerKind::kFailure) {
-    m_kind = AnswerKind::kInvalid;
-    m_invalid_reason = "incomplete error response";
+  if (m_current.kind == AnswerKind::kFailure) {
+    m_current.kind = AnswerKind::kInvalid;
+    m_current.invalid_reason = "incomplete error response";
   }
   OnResponseEnd(false);
 }
@@ -254,16 +256,16 @@
   m_sink->StreamPart(bytes);
   const std::size_t limit =
       m_context.answer_memory.IsExhausted() ? kMinQueuedBytes : kMaxQueuedBytes;
-  if (m_sink->QueuedBytes() > limit && !m_reading_paused &&
+  if (m_sink->QueuedBytes() > limit && !m_current.reading_paused &&
       !IsMutantEnabled("forwarder_ignores_slow_callers")) {
-    m_reading_paused = true;
-    m_connection->connection->StopReading();
+    m_current.reading_paused = true;
+    m_current.connection->connection->StopReading();
     m_silence_timer.Cancel();
   }
 }
 
 void ForwardTask::CountMemory() {
-  const std::size_t held = m_answer_body.size() + m_framer.Rest().size() +
+  const std::size_t held = m_current.answer_body.size() + m_current.framer.Rest().size() +
                            (m_sink != nullptr ? m_sink->QueuedBytes() : 0);
   m_context.answer_memory.Resize(std::exchange(m_counted_memory, held), held);
 }
@@ -277,18 +279,19 @@
   // A resumed stream may repeat events that the caller has already received.
   if (id && m_last_event_id && *id <= *m_last_event_id &&
       !IsMutantEnabled("forwarder_resumes_from_the_start")) {
-    m_repeated_bytes += event.size();
+    m_current.repeated_bytes += event.size();
     return;
   }
   const SteadyTime now = m_context.clock.Now();
-  if (m_last_event_at) {
-    m_connection->endpoint->pace.OnGap(now - *m_last_event_at, now);
-    m_context.metrics.GetDuration("forward_event_gap_seconds").Record(now - *m_last_event_at);
+  if (m_current.last_event_at) {
+    m_current.connection->endpoint->pace.OnGap(now - *m_current.last_event_at, now);
+    m_context.metrics.GetDuration("forward_event_gap_seconds")
+        .Record(now - *m_current.last_event_at);
   }
-  if (!m_last_event_at && m_prompt) {
+  if (!m_current.last_event_at && m_prompt) {
     m_context.quarantine.OnAnswerBegan(m_prompt->parts, now);
   }
-  m_last_event_at = now;
+  m_current.last_event_at = now;
   if (m_events == 0) {
     m_first_event_at = now;
     m_context.metrics.GetDuration("forward_first_event_seconds")
@@ -314,8 +317,8 @@
 }
 
 void ForwardTask::ResumeReading() {
-  if (std::exchange(m_reading_paused, false) && m_connection) {
-    m_connection->connection->StartReading();
+  if (std::exchange(m_current.reading_paused, false) && m_current.connection) {
+    m_current.connection->connection->StartReading();
     RestartSilenceTimer();
   }
 }
@@ -325,8 +328,9 @@
 }
 
 bool ForwardTask::IsBrokenStream() const noexcept {
-  const bool has_end = m_answer_head.chunked || m_answer_head.content_length;
-  return m_kind == AnswerKind::kEvents && !has_end && (m_events == 0 || m_framer.IsInsideEvent());
+  const bool has_end = m_current.answer_head.chunked || m_current.answer_head.content_length;
+  return m_current.kind == AnswerKind::kEvents && !has_end &&
+         (m_events == 0 || m_current.framer.IsInsideEvent());
 }
 
 void ForwardTask::OnResponseEnd(bool reusable) {
@@ -336,18 +340,19 @@
     return;
   }
   m_silence_timer.Cancel();
-  EndpointConnection connection = std::move(*m_connection);
-  m_connection.reset();
+  EndpointConnection connection = std::move(*m_current.connection);
+  m_current.connection.reset();
   connection.endpoint->load.OnEnded();
   const EndpointPtr endpoint = connection.endpoint;
   if (reusable) {
-    m_context.pool.Release(std::move(connection),
-                           KeepAliveTimeout(http::FindHeader(m_answer_head.headers, "Keep-Alive")));
+    m_context.pool.Release(
+        std::move(connection),
+        KeepAliveTimeout(http::FindHeader(m_current.answer_head.headers, "Keep-Alive")));
   } else {
     m_context.pool.Discard(std::move(connection));
   }
   const SteadyTime now = m_context.clock.Now();
-  switch (m_kind) {
+  switch (m_current.kind) {
     case AnswerKind::kBuffered:
     case AnswerKind::kEvents:
       CountAttempt("answered");
@@ -358,19 +363,19 @@
       CountAttempt("other_process");
       endpoint->health.OnInconclusive();
       m_context.endpoints.OnAddressReused(endpoint->record.name);
-      RunStep(m_decision->OnRefused(m_attempt, {.reason = FailureReason::kDraining}));
+      RunStep(m_decision->OnRefused(m_current.number, {.reason = FailureReason::kDraining}));
       return;
     case AnswerKind::kRefusal:
       CountAttempt("refused");
       endpoint->health.OnInconclusive();
       endpoint->full_until = now + kFullBackoff;
       LogFailedAttempt(endpoint, requests::ToText(FailureReason::kOverBound),
-                       {"status", m_answer_head.status});
-      if (m_answer_head.status == detail::kStatusBadRequest) {
+                       {"status", m_current.answer_head.status});
+      if (m_current.answer_head.status == detail::kStatusBadRequest) {
         Refuse(detail::kStatusBadRequest, FailureReason::kMalformedRequest);
         return;
       }
-      RunStep(m_decision->OnRefused(m_attempt, {.reason = FailureReason::kOverBound}));
+      RunStep(m_decision->OnRefused(m_current.number, {.reason = FailureReason::kOverBound}));
       return;
     case AnswerKind::kFailure:
       CountAttempt("failed");
@@ -381,20 +386,20 @@
       CountAttempt("invalid");
       endpoint->health.OnFailure(AttemptFailure::kErrorResponse, now);
       LogFailedAttempt(endpoint, requests::ToText(FailureReason::kConnectionLost),
-                       {"detail", m_invalid_reason});
-      RunStep(m_decision->OnLost(m_attempt, FailureReason::kConnectionLost));
+                       {"detail", m_current.invalid_reason});
+      RunStep(m_decision->OnLost(m_current.number, FailureReason::kConnectionLost));
       return;
   }
 }
 
 void ForwardTask::FinishFailure(const EndpointPtr& endpoint) {
   const SteadyTime now = m_context.clock.Now();
-  const int status = m_answer_head.status;
+  const int status = m_current.answer_head.status;
   // Unless the endpoint marks the response as a refusal, the request may have run, and this status
   // would wrongly tell the caller that it has not.
   const bool is_unmarked_refusal = ImpliesNotRun(status);
   if (!is_unmarked_refusal) {
-    m_failure.emplace(std::move(m_answer_head), std::move(m_answer_body));
+    m_failure.emplace(std::move(m_current.answer_head), std::move(m_current.answer_body));
   }
   if (!is_unmarked_refusal && status < kServerErrorFirst) {
     endpoint->health.OnSuccess(now);
@@ -404,30 +409,32 @@
   endpoint->health.OnFailure(AttemptFailure::kErrorResponse, now);
   LogFailedAttempt(endpoint, requests::ToText(FailureReason::kEngineLost), {"status", status},
                    is_unmarked_refusal ? "status of a refusal without the refusal header" : "");
-  RunStep(m_decision->OnLost(m_attempt, FailureReason::kEngineLost));
+  RunStep(m_decision->OnLost(m_current.number, FailureReason::kEngineLost));
 }
 
 void ForwardTask::OnConnectionEnd(http1::ConnectionEnd end, std::string_view detail) {
-  if (!m_connection) {
+  if (!m_current.connection) {
     return;
   }
-  if (m_kind == AnswerKind::kRefusal || m_kind == AnswerKind::kOtherProcess) {
+  if (m_current.kind == AnswerKind::kRefusal || m_current.kind == AnswerKind::kOtherProcess) {
     // The head alone shows that the request has not run.
     OnResponseEnd(false);
     return;
   }
-  if (m_kind != AnswerKind::kNone && IsMutantEnabled("forwarder_takes_cut_answer_as_whole")) {
+  if (m_current.kind != AnswerKind::kNone &&
+      IsMutantEnabled("forwarder_takes_cut_answer_as_whole")) {
     OnResponseEnd(false);
     return;
   }
   if (end == http1::ConnectionEnd::kNotConnected) {
-    const EndpointPtr endpoint = m_connection->endpoint;
+    const EndpointPtr endpoint = m_current.connection->endpoint;
     LogFailedAttempt(endpoint, http1::ToText(end), {"detail", detail});
-    CountAttempt(m_withdrawn ? "withdrawn" : "not_connected");
-    m_withdrawn ? endpoint->health.OnNotSent()
-                : endpoint->health.OnFailure(AttemptFailure::kNotConnected, m_context.clock.Now());
+    CountAttempt(m_current.withdrawn ? "withdrawn" : "not_connected");
+    m_current.withdrawn
+        ? endpoint->health.OnNotSent()
+        : endpoint->health.OnFailure(AttemptFailure::kNotConnected, m_context.clock.Now());
     EndAttempt();
-    RunStep(m_decision->OnNotHandedOver(m_attempt));
+    RunStep(m_decision->OnNotHandedOver(m_current.number));
     return;
   }
   const bool is_lost = end == http1::ConnectionEnd::kClosed || end == http1::ConnectionEnd::kReset;
--- a/src/forward/forward_task_attempts.cc
+++ b/src/forward/forward_task_attempts.cc
@@ -80,20 +80,9 @@
     return false;
   }
   (void)endpoint->quota.TryTake(now);
-  m_attempt = step.attempt;
   m_last_endpoint = endpoint->record.name;
-  m_sent = false;
-  m_sent_at = now;
-  m_kind = AnswerKind::kNone;
-  m_last_event_at.reset();
-  m_answer_body.clear();
-  m_counted_progress = 0;
-  m_error_bytes = 0;
-  m_repeated_bytes = 0;
-  m_framer.Reset();
-  m_reading_paused = false;
-  m_withdrawn = false;
-  m_connection = m_context.pool.Acquire(endpoint);
+  m_current = Attempt{.number = step.attempt, .sent_at = now};
+  m_current.connection = m_context.pool.Acquire(endpoint);
   endpoint->load.OnSent();
   if (step.attempt > 1) {
     Log(kRetryDecided, {{"id", m_id},
@@ -110,8 +99,9 @@
                         {"mean_load", m_mean_load},
                         {"at_home", m_at_home ? 1 : 0},
                         {"limit", endpoint->quota.limit().value_or(-1)},
-                        {"reused", m_connection->reused ? 1 : 0}});
-  m_connection->connection->Send(RequestText(endpoint), m_request.head.method == "HEAD", *this);
+                        {"reused", m_current.connection->reused ? 1 : 0}});
+  m_current.connection->connection->Send(RequestText(endpoint), m_request.head.method == "HEAD",
+                                         *this);
   RestartSilenceTimer();
   return true;
 }
@@ -161,20 +151,20 @@
 }
 
 void ForwardTask::CancelAttempt() {
-  EndpointHealth& health = m_connection->endpoint->health;
-  m_sent ? health.OnInconclusive() : health.OnNotSent();
+  EndpointHealth& health = m_current.connection->endpoint->health;
+  m_current.sent ? health.OnInconclusive() : health.OnNotSent();
   EndAttempt();
 }
 
 void ForwardTask::EndAttempt() {
   m_silence_timer.Cancel();
-  if (m_connection) {
-    m_connection->endpoint->load.OnEnded();
+  if (m_current.connection) {
+    m_current.connection->endpoint->load.OnEnded();
     // A graceful close would still transmit a request that waits on a busy link, and the endpoint
     // would run it for nobody.
-    m_connection->connection->ResetOnClose();
-    m_context.pool.Discard(std::move(*m_connection));
-    m_connection.reset();
+    m_current.connection->connection->ResetOnClose();
+    m_context.pool.Discard(std::move(*m_current.connection));
+    m_current.connection.reset();
   }
 }
 
@@ -186,7 +176,7 @@
 void ForwardTask::LogFailedAttempt(const EndpointPtr& endpoint, std::string_view reason,
                                    const LogField& what, std::string_view detail) const {
   const LogField id("id", m_id);
-  const LogField attempt("attempt", m_attempt);
+  const LogField attempt("attempt", m_current.number);
   const LogField name("endpoint", endpoint->record.name.value());
   const LogField why("reason", reason);
   if (detail.empty()) {
@@ -198,22 +188,23 @@
 
 void ForwardTask::FailAttempt(FailureReason reason, std::string_view detail,
                               std::chrono::milliseconds retry_delay) {
-  const EndpointPtr endpoint = m_connection->endpoint;
-  Log(kAttemptFailed, {{"id", m_id},
-                       {"attempt", m_attempt},
-                       {"endpoint", endpoint->record.name.value()},
-                       {"reason", requests::ToText(reason)},
-                       {"detail", detail},
-                       {"sent", m_sent ? 1 : 0},
-                       {"status", m_kind == AnswerKind::kNone ? 0 : m_answer_head.status},
-                       {"answer_began", m_last_event_at ? 1 : 0},
-                       {"events", m_events},
-                       {"parts", m_prompt ? ToText(m_prompt->parts) : std::string()},
-                       {"after_ms", detail::ToMilliseconds(m_context.clock.Now() - m_sent_at)}});
+  const EndpointPtr endpoint = m_current.connection->endpoint;
+  Log(kAttemptFailed,
+      {{"id", m_id},
+       {"attempt", m_current.number},
+       {"endpoint", endpoint->record.name.value()},
+       {"reason", requests::ToText(reason)},
+       {"detail", detail},
+       {"sent", m_current.sent ? 1 : 0},
+       {"status", m_current.kind == AnswerKind::kNone ? 0 : m_current.answer_head.status},
+       {"answer_began", m_current.last_event_at ? 1 : 0},
+       {"events", m_events},
+       {"parts", m_prompt ? ToText(m_prompt->parts) : std::string()},
+       {"after_ms", detail::ToMilliseconds(m_context.clock.Now() - m_current.sent_at)}});
   CountAttempt("lost");
   endpoint->health.OnFailure(AttemptFailure::kConnectionLost, m_context.clock.Now());
   EndAttempt();
-  router::Step step = m_decision->OnLost(m_attempt, reason);
+  router::Step step = m_decision->OnLost(m_current.number, reason);
   if (retry_delay > 0ms && step.kind == router::Step::Kind::kAttempt) {
     m_delayed_step = std::move(step);
     m_retry_timer.Start(retry_delay);
@@ -223,11 +214,12 @@
 }
 
 std::chrono::milliseconds ForwardTask::ReportLostPrompt() {
-  const bool is_answering = m_kind == AnswerKind::kEvents;
-  if (!m_prompt || !m_sent || m_last_event_at || !(is_answering || m_kind == AnswerKind::kNone)) {
+  const bool is_answering = m_current.kind == AnswerKind::kEvents;
+  if (!m_prompt || !m_current.sent || m_current.last_event_at ||
+      !(is_answering || m_current.kind == AnswerKind::kNone)) {
     return 0ms;
   }
-  m_context.crashes.OnConnectionLost(m_connection->endpoint,
+  m_context.crashes.OnConnectionLost(m_current.connection->endpoint,
                                      {.request = std::string(m_id.substr(0, kMaxReportedIdLength)),
                                       .parts = m_prompt->parts,
                                       .answering = is_answering});
@@ -238,7 +230,7 @@
 
 void ForwardTask::RestartSilenceTimer() {
   // While reading is paused for a slow caller, silence says nothing about the endpoint.
-  if (!m_route->IsRepeatable() || m_is_pinned || m_reading_paused) {
+  if (!m_route->IsRepeatable() || m_is_pinned || m_current.reading_paused) {
     m_silence_timer.Cancel();
     return;
   }
@@ -251,7 +243,7 @@
 }
 
 void ForwardTask::OnSilenceTimeout() {
-  if (!m_connection) {
+  if (!m_current.connection) {
     return;
   }
   if (HasTooManyUnreadBytes()) {
@@ -266,7 +258,7 @@
       m_decision->attempts() < m_route->max_attempts &&
       m_context.RetryBudgetFor(m_service).Tokens() >= 1 &&
       std::any_of(m_ranked.begin(), m_ranked.end(), [this](const EndpointPtr& endpoint) {
-        return endpoint->usable && endpoint != m_connection->endpoint;
+        return endpoint->usable && endpoint != m_current.connection->endpoint;
       });
   if (has_alternative) {
     FailAttempt(FailureReason::kEngineLost, "silent");
@@ -289,7 +281,7 @@
 
 void ForwardTask::Abort(FailureReason reason) {
   const router::Step step = m_decision->OnAbort(reason);
-  if (m_connection) {
+  if (m_current.connection) {
     CancelAttempt();
   }
   Finish(step);
--- a/src/forward/forward_task_response.cc
+++ b/src/forward/forward_task_response.cc
@@ -32,21 +32,22 @@
 }  // namespace
 
 void ForwardTask::FinishAnswer() {
-  const router::Step step = m_decision->OnComplete(m_attempt);
+  const router::Step step = m_decision->OnComplete(m_current.number);
   if (step.outcome != Outcome::kResult) {
     Finish(step);
     return;
   }
   if (m_sink != nullptr) {
-    if (m_kind == AnswerKind::kEvents || m_stream_began) {
+    if (m_current.kind == AnswerKind::kEvents || m_stream_began) {
       BeginStreamToCaller();
-      m_sink->StreamPart(m_framer.Rest());
+      m_sink->StreamPart(m_current.framer.Rest());
       m_sink->EndStream();
     } else {
-      m_sink->Respond(m_answer_head.status, CallerHeaders(m_answer_head), m_answer_body);
+      m_sink->Respond(m_current.answer_head.status, CallerHeaders(m_current.answer_head),
+                      m_current.answer_body);
     }
   }
-  Close(m_answer_head.status, requests::ToText(Outcome::kResult), FailureReason::kNone);
+  Close(m_current.answer_head.status, requests::ToText(Outcome::kResult), FailureReason::kNone);
 }
 
 std::vector<http::Header> ForwardTask::CallerHeaders(const http1::MessageHead& head) const {
@@ -175,7 +176,8 @@
   m_sink = nullptr;
   // A non-idempotent request runs to its end: cancelling it would leave its effect unknown and save
   // little work.
-  const bool may_continue = m_route && m_route->kind == RequestKind::kNonIdempotent && m_sent;
+  const bool may_continue =
+      m_route && m_route->kind == RequestKind::kNonIdempotent && m_current.sent;
   const bool goes_on = may_continue || IsMutantEnabled("forwarder_goes_on_without_caller");
   Log(kCallerLeft,
       {{"id", m_id},
