Keep a silent attempt until another endpoint has taken the request

Cause: silence ended the attempt before it was known whether another endpoint takes the request; the refusal used up the route's last attempt. Change: the silent attempt is set aside, its connection open and not read, while another endpoint is asked. It goes on if that one refuses or can't be reached, and ends when that one answers, or has not refused within 200 ms, so that no two endpoints work on one request for 400 ms. Related paths: requests before their first event, and repeatable calls without an answer. Why it works: nothing is given up before something else has taken its place.

--- a/src/forward/connection_pool.cc
+++ b/src/forward/connection_pool.cc
@@ -32,7 +32,7 @@
  public:
   IdleConnection(ConnectionPool& pool, EndpointConnection connection, BootTime expires_at)
       : m_pool(pool), m_connection(std::move(connection)), m_expires_at(expires_at) {
-    m_connection.connection->SetIdleObserver(this);
+    m_connection.connection->SetObserver(this);
   }
 
   [[nodiscard]] bool OnResponseHead(http1::MessageHead) override { return false; }
@@ -64,7 +64,7 @@
     const std::unique_ptr<IdleConnection> idle = std::move(found->second.back());
     found->second.pop_back();
     EndpointConnection connection = idle->Detach();
-    connection.connection->SetIdleObserver(nullptr);
+    connection.connection->SetObserver(nullptr);
     if (now < idle->expires_at()) {
       connection.reused = true;
       return connection;
--- a/src/forward/forward_task.cc
+++ b/src/forward/forward_task.cc
@@ -65,8 +65,9 @@
 
 ForwardTask::~ForwardTask() {
   if (m_current.connection) {
-    CancelAttempt();
+    CancelAttempt(m_current);
   }
+  CancelSetAside();
   m_context.answer_memory.Release(m_counted_memory);
 }
 
--- a/src/forward/forward_task.h
+++ b/src/forward/forward_task.h
@@ -75,6 +75,17 @@
     std::optional<SteadyTime> last_event_at{};
   };
 
+  /// Observes the connection of the attempt that is set aside. Its answer is not read meanwhile.
+  class SetAsideObserver final : public http1::ResponseObserver {
+   public:
+    [[nodiscard]] bool OnResponseHead(http1::MessageHead) override { return false; }
+    void OnResponseBody(std::string_view) override {}
+    void OnResponseEnd(bool) override { ended = true; }
+    void OnConnectionEnd(http1::ConnectionEnd, std::string_view) override { ended = true; }
+
+    bool ended = false;
+  };
+
   /// \name Admission
   /// @{
   [[nodiscard]] bool FindRoute();
@@ -106,9 +117,11 @@
   void RunStep(router::Step step);
   [[nodiscard]] bool StartAttempt(const router::Step& step, const EndpointPtr& endpoint);
   [[nodiscard]] std::string RequestText(const EndpointPtr& endpoint) const;
-  void EndAttempt();
-  /// Cancels the current attempt for a reason that is not the endpoint's fault.
-  void CancelAttempt();
+  void EndAttempt(Attempt& attempt);
+  /// Cancels an attempt for a reason that is not the endpoint's fault.
+  void CancelAttempt(Attempt& attempt);
+  /// Ends an attempt that was lost, and counts it against its endpoint.
+  void EndLostAttempt(Attempt& attempt, requests::FailureReason reason, std::string_view detail);
   void CountAttempt(std::string_view result);
   /// Logs a failed attempt; `what` is the field that shows what the endpoint did.
   void LogFailedAttempt(const EndpointPtr& endpoint, std::string_view reason, const LogField& what,
@@ -121,6 +134,17 @@
   [[nodiscard]] std::chrono::milliseconds ReportLostPrompt();
   void OnRetryTimer();
   void OnSilenceTimeout();
+  /// Whether a silent request may move to another endpoint now.
+  [[nodiscard]] bool HasAlternative() const;
+  /// Sets the current attempt aside, and asks another endpoint to run or continue the request.
+  void AskOtherEndpoint();
+  /// Continues with the attempt that was set aside, since no other endpoint has accepted the
+  /// request. Returns false if there is none.
+  [[nodiscard]] bool ResumeSetAside();
+  /// Gives up the attempt that was set aside, since another endpoint may run the request.
+  void LoseSetAside();
+  /// Cancels the attempt that was set aside, since the request has ended.
+  void CancelSetAside();
   /// Starts the timer that moves a repeatable request away from a silent endpoint.
   void RestartSilenceTimer();
   void OnDeadlineTimer();
@@ -212,6 +236,9 @@
 
   EndpointName m_last_endpoint;
   Attempt m_current;
+  /// A silent attempt that goes on if the endpoint of the current one refuses the request.
+  std::optional<Attempt> m_set_aside;
+  SetAsideObserver m_set_aside_observer;
 
   /// Whether any attempt was written to a connection.
   bool m_any_sent = false;
--- a/src/forward/forward_task_answer.cc
+++ b/src/forward/forward_task_answer.cc
@@ -80,6 +80,9 @@
   m_any_sent = true;
   m_current.connection->endpoint->health.OnSent(m_context.clock.Now());
   m_decision->OnHandedOver(m_current.number);
+  if (m_set_aside) {
+    RestartSilenceTimer();
+  }
 }
 
 ForwardTask::AnswerKind ForwardTask::Classify(const http1::MessageHead& head) const {
@@ -138,6 +141,9 @@
   RecordLoadReport(head);
   RecordRequestLimit(head);
   m_current.kind = Classify(head);
+  if (m_current.kind != AnswerKind::kRefusal && m_current.kind != AnswerKind::kOtherProcess) {
+    LoseSetAside();
+  }
   if (m_current.kind == AnswerKind::kBuffered && m_stream_began) {
     // The caller has received events of an earlier attempt, which only further events may follow.
     m_current.kind = AnswerKind::kInvalid;
@@ -266,6 +272,7 @@
 
 void ForwardTask::CountMemory() {
   const std::size_t held = m_current.answer_body.size() + m_current.framer.Rest().size() +
+                           (m_set_aside ? m_set_aside->answer_body.size() : 0) +
                            (m_sink != nullptr ? m_sink->QueuedBytes() : 0);
   m_context.answer_memory.Resize(std::exchange(m_counted_memory, held), held);
 }
@@ -433,7 +440,7 @@
     m_current.withdrawn
         ? endpoint->health.OnNotSent()
         : endpoint->health.OnFailure(AttemptFailure::kNotConnected, m_context.clock.Now());
-    EndAttempt();
+    EndAttempt(m_current);
     RunStep(m_decision->OnNotHandedOver(m_current.number));
     return;
   }
--- a/src/forward/forward_task_attempts.cc
+++ b/src/forward/forward_task_attempts.cc
@@ -25,6 +25,11 @@
 constexpr std::chrono::milliseconds kMinFirstEventTimeout = 700ms;
 constexpr std::chrono::milliseconds kMinEventTimeout = 1'200ms;
 
+// Time after which an endpoint that was asked in place of a silent one counts as having accepted
+// the request. A full endpoint refuses at once. Both may not run the request for longer than 400
+// ms.
+constexpr std::chrono::milliseconds kAcceptTime = 200ms;
+
 // Minimum time left until the deadline for which an attempt is started.
 constexpr std::chrono::milliseconds kMinAttemptTime = 5ms;
 
@@ -52,7 +57,9 @@
     return;
   }
   if (step.kind == router::Step::Kind::kAttempt && IsQuarantined()) {
-    Finish(m_decision->OnAbort(FailureReason::kPromptQuarantined));
+    if (!ResumeSetAside()) {
+      Finish(m_decision->OnAbort(FailureReason::kPromptQuarantined));
+    }
     return;
   }
   while (step.kind == router::Step::Kind::kAttempt) {
@@ -65,7 +72,7 @@
     }
     step = m_decision->OnBreakerOpen(step.attempt);
   }
-  if (step.kind == router::Step::Kind::kFinish) {
+  if (step.kind == router::Step::Kind::kFinish && !ResumeSetAside()) {
     Finish(step);
   }
 }
@@ -150,21 +157,23 @@
   return text.append("\r\n").append(m_request.body);
 }
 
-void ForwardTask::CancelAttempt() {
-  EndpointHealth& health = m_current.connection->endpoint->health;
-  m_current.sent ? health.OnInconclusive() : health.OnNotSent();
-  EndAttempt();
+void ForwardTask::CancelAttempt(Attempt& attempt) {
+  EndpointHealth& health = attempt.connection->endpoint->health;
+  attempt.sent ? health.OnInconclusive() : health.OnNotSent();
+  EndAttempt(attempt);
 }
 
-void ForwardTask::EndAttempt() {
-  m_silence_timer.Cancel();
-  if (m_current.connection) {
-    m_current.connection->endpoint->load.OnEnded();
+void ForwardTask::EndAttempt(Attempt& attempt) {
+  if (&attempt == &m_current) {
+    m_silence_timer.Cancel();
+  }
+  if (attempt.connection) {
+    attempt.connection->endpoint->load.OnEnded();
     // A graceful close would still transmit a request that waits on a busy link, and the endpoint
     // would run it for nobody.
-    m_current.connection->connection->ResetOnClose();
-    m_context.pool.Discard(std::move(*m_current.connection));
-    m_current.connection.reset();
+    attempt.connection->connection->ResetOnClose();
+    m_context.pool.Discard(std::move(*attempt.connection));
+    attempt.connection.reset();
   }
 }
 
@@ -186,24 +195,31 @@
   }
 }
 
-void ForwardTask::FailAttempt(FailureReason reason, std::string_view detail,
-                              std::chrono::milliseconds retry_delay) {
-  const EndpointPtr endpoint = m_current.connection->endpoint;
+void ForwardTask::EndLostAttempt(Attempt& attempt, FailureReason reason, std::string_view detail) {
+  const EndpointPtr endpoint = attempt.connection->endpoint;
   Log(kAttemptFailed,
       {{"id", m_id},
-       {"attempt", m_current.number},
+       {"attempt", attempt.number},
        {"endpoint", endpoint->record.name.value()},
        {"reason", requests::ToText(reason)},
        {"detail", detail},
-       {"sent", m_current.sent ? 1 : 0},
-       {"status", m_current.kind == AnswerKind::kNone ? 0 : m_current.answer_head.status},
-       {"answer_began", m_current.last_event_at ? 1 : 0},
+       {"sent", attempt.sent ? 1 : 0},
+       {"status", attempt.kind == AnswerKind::kNone ? 0 : attempt.answer_head.status},
+       {"answer_began", attempt.last_event_at ? 1 : 0},
        {"events", m_events},
        {"parts", m_prompt ? ToText(m_prompt->parts) : std::string()},
-       {"after_ms", detail::ToMilliseconds(m_context.clock.Now() - m_current.sent_at)}});
+       {"after_ms", detail::ToMilliseconds(m_context.clock.Now() - attempt.sent_at)}});
   CountAttempt("lost");
   endpoint->health.OnFailure(AttemptFailure::kConnectionLost, m_context.clock.Now());
-  EndAttempt();
+  EndAttempt(attempt);
+}
+
+void ForwardTask::FailAttempt(FailureReason reason, std::string_view detail,
+                              std::chrono::milliseconds retry_delay) {
+  if (m_current.sent) {
+    LoseSetAside();
+  }
+  EndLostAttempt(m_current, reason, detail);
   router::Step step = m_decision->OnLost(m_current.number, reason);
   if (retry_delay > 0ms && step.kind == router::Step::Kind::kAttempt) {
     m_delayed_step = std::move(step);
@@ -234,6 +250,10 @@
     m_silence_timer.Cancel();
     return;
   }
+  if (m_set_aside && m_current.sent) {
+    m_silence_timer.Start(kAcceptTime);
+    return;
+  }
   std::chrono::milliseconds timeout = std::max(2 * m_route->objective, kMinAnswerTimeout);
   if (m_route->kind == RequestKind::kStream) {
     timeout = m_events == 0 ? std::max(2 * m_route->objective, kMinFirstEventTimeout)
@@ -254,17 +274,88 @@
     EndErrorAnswer();
     return;
   }
-  const bool has_alternative =
-      m_decision->attempts() < m_route->max_attempts &&
-      m_context.RetryBudgetFor(m_service).Tokens() >= 1 &&
-      std::any_of(m_ranked.begin(), m_ranked.end(), [this](const EndpointPtr& endpoint) {
-        return endpoint->usable && endpoint != m_current.connection->endpoint;
-      });
-  if (has_alternative) {
-    FailAttempt(FailureReason::kEngineLost, "silent");
-  } else {
+  if (m_set_aside) {
+    if (m_current.sent) {
+      LoseSetAside();
+    }
+    RestartSilenceTimer();
+  } else if (!HasAlternative()) {
     // An endpoint or a retry may become available while the endpoint stays silent.
     RestartSilenceTimer();
+  } else if (m_current.sent && !IsMutantEnabled("forwarder_gives_up_silent_attempts")) {
+    AskOtherEndpoint();
+  } else {
+    FailAttempt(FailureReason::kEngineLost, "silent");
+  }
+}
+
+bool ForwardTask::HasAlternative() const {
+  return m_decision->attempts() < m_route->max_attempts &&
+         m_context.RetryBudgetFor(m_service).Tokens() >= 1 &&
+         std::any_of(m_ranked.begin(), m_ranked.end(), [this](const EndpointPtr& endpoint) {
+           return endpoint->usable && endpoint != m_current.connection->endpoint;
+         });
+}
+
+void ForwardTask::AskOtherEndpoint() {
+  router::Step step;
+  if (!IsQuarantined()) {
+    step = m_decision->OnSilent(m_current.number);
+  }
+  if (step.kind == router::Step::Kind::kContinue) {
+    RestartSilenceTimer();
+    return;
+  }
+  // What the endpoint sends meanwhile waits in the connection. If it were passed on, the other
+  // endpoint could repeat it.
+  http1::ClientConnection& connection = *m_current.connection->connection;
+  connection.StopReading();
+  connection.SetObserver(&m_set_aside_observer);
+  m_set_aside_observer.ended = false;
+  Log(kAttemptSetAside,
+      {{"id", m_id},
+       {"attempt", m_current.number},
+       {"endpoint", m_current.connection->endpoint->record.name.value()},
+       {"events", m_events},
+       {"after_ms", detail::ToMilliseconds(m_context.clock.Now() - m_current.sent_at)}});
+  m_set_aside.emplace(std::move(m_current));
+  m_current = {};
+  RunStep(std::move(step));
+}
+
+bool ForwardTask::ResumeSetAside() {
+  if (!m_set_aside) {
+    return false;
+  }
+  m_decision->OnSetAsideResumed();
+  m_current = std::move(*m_set_aside);
+  m_set_aside.reset();
+  const EndpointPtr& endpoint = m_current.connection->endpoint;
+  m_last_endpoint = endpoint->record.name;
+  Log(kAttemptResumed,
+      {{"id", m_id}, {"attempt", m_current.number}, {"endpoint", m_last_endpoint.value()}});
+  if (m_set_aside_observer.ended) {
+    FailAttempt(FailureReason::kConnectionLost, "ended while another endpoint was asked");
+    return true;
+  }
+  m_current.connection->connection->SetObserver(this);
+  m_current.connection->connection->StartReading();
+  RestartSilenceTimer();
+  return true;
+}
+
+void ForwardTask::LoseSetAside() {
+  if (m_set_aside) {
+    m_decision->OnSetAsideLost();
+    EndLostAttempt(*m_set_aside, FailureReason::kEngineLost, "silent");
+    m_set_aside.reset();
+  }
+}
+
+void ForwardTask::CancelSetAside() {
+  if (m_set_aside) {
+    CancelAttempt(*m_set_aside);
+    m_set_aside.reset();
   }
 }
 
@@ -282,7 +373,7 @@
 void ForwardTask::Abort(FailureReason reason) {
   const router::Step step = m_decision->OnAbort(reason);
   if (m_current.connection) {
-    CancelAttempt();
+    CancelAttempt(m_current);
   }
   Finish(step);
 }
--- a/src/forward/forward_task_response.cc
+++ b/src/forward/forward_task_response.cc
@@ -130,6 +130,7 @@
 
 void ForwardTask::Close(int status, std::string_view outcome, FailureReason reason) {
   m_done = true;
+  CancelSetAside();
   m_context.answer_memory.Release(std::exchange(m_counted_memory, 0));
   m_deadline_timer.Cancel();
   m_silence_timer.Cancel();
--- a/src/forward/log_events.h
+++ b/src/forward/log_events.h
@@ -18,6 +18,8 @@
 inline constexpr LogEvent kRetryDecided{2215, LogLevel::kInfo, "retry_decided"};
 inline constexpr LogEvent kAnswerSkipped{2216, LogLevel::kWarn, "answer_skipped"};
 inline constexpr LogEvent kCallerLeft{2217, LogLevel::kInfo, "caller_left"};
+inline constexpr LogEvent kAttemptSetAside{2218, LogLevel::kInfo, "attempt_set_aside"};
+inline constexpr LogEvent kAttemptResumed{2219, LogLevel::kInfo, "attempt_resumed"};
 inline constexpr LogEvent kConfigurationInForce{2220, LogLevel::kInfo, "configuration_in_force"};
 inline constexpr LogEvent kConfigurationIgnored{2221, LogLevel::kError, "configuration_ignored"};
 inline constexpr LogEvent kEndpointListed{2222, LogLevel::kInfo, "endpoint_listed"};
--- a/src/forward/prefix_feed.cc
+++ b/src/forward/prefix_feed.cc
@@ -134,7 +134,7 @@
   m_call_in_progress = false;
   m_timer.Cancel();
   if (reusable) {
-    m_connection->SetIdleObserver(this);
+    m_connection->SetObserver(this);
   } else {
     m_connection.reset();
   }
--- a/src/forward/record_writer.cc
+++ b/src/forward/record_writer.cc
@@ -113,7 +113,7 @@
 
 void RecordWriter::OnResponseEnd(bool reusable) {
   if (reusable) {
-    m_connection->SetIdleObserver(this);
+    m_connection->SetObserver(this);
   } else {
     m_connection.reset();
   }
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -65,8 +65,9 @@
   /// \brief Sends a request and reports its response to `observer`, which must outlive the call.
   void Send(std::string request, bool is_head, ResponseObserver& observer);
 
-  /// \brief Sets the observer to notify when the idle connection ends.
-  void SetIdleObserver(ResponseObserver* observer) noexcept { m_observer = observer; }
+  /// \brief Sets the observer of the current call, or the one to notify when the idle connection
+  /// ends.
+  void SetObserver(ResponseObserver* observer) noexcept { m_observer = observer; }
 
   /// \brief Makes the destructor discard what has not been transmitted yet.
   void ResetOnClose() noexcept { m_stream.ResetOnClose(); }
--- a/src/router/request_decision.cc
+++ b/src/router/request_decision.cc
@@ -167,6 +167,36 @@
   return IsCurrent(attempt) ? AfterUnknown(reason) : Step{};
 }
 
+Step RequestDecision::OnSilent(std::uint32_t attempt) {
+  const bool may_move = IsCurrent(attempt) && WasHandedOver() && !m_set_aside &&
+                        m_policy.repeatable && !m_bytes_to_caller;
+  if (!may_move || m_failures + 1 >= m_policy.max_admitted || m_sent >= m_policy.max_sent ||
+      !m_budget.TryConsume()) {
+    return {};
+  }
+  m_set_aside = SetAside{.attempt = m_attempt, .phase = m_phase};
+  m_last_reason = FailureReason::kEngineLost;
+  m_phase = Phase::kIdle;
+  return StartNext(m_failures + 1);
+}
+
+void RequestDecision::OnSetAsideResumed() {
+  if (m_set_aside) {
+    m_attempt = m_set_aside->attempt;
+    m_phase = m_set_aside->phase;
+    m_set_aside.reset();
+  }
+}
+
+void RequestDecision::OnSetAsideLost() {
+  if (m_set_aside) {
+    m_set_aside.reset();
+    m_may_have_run = true;
+    m_unknown_reason = FailureReason::kEngineLost;
+    ++m_failures;
+  }
+}
+
 Step RequestDecision::OnAbort(FailureReason reason) {
   if (m_phase == Phase::kFinished) {
     ++m_unmatched_events;
@@ -215,7 +245,8 @@
   m_phase = Phase::kStarting;
   Step step;
   step.kind = Step::Kind::kAttempt;
-  step.attempt = ++m_attempt;
+  m_attempt = ++m_attempts;
+  step.attempt = m_attempt;
   step.candidate = *std::find_if(
       m_candidates.begin(), m_candidates.end(),
       [&planned](const Candidate& known) { return known.endpoint == planned->endpoint; });
@@ -226,9 +257,10 @@
 
 Step RequestDecision::Finish(FailureReason reason) {
   m_phase = Phase::kFinished;
+  const bool may_have_run = m_may_have_run || m_set_aside;
   Step step;
   step.kind = Step::Kind::kFinish;
-  step.outcome = m_may_have_run ? Outcome::kUnknown : Outcome::kNotRun;
+  step.outcome = may_have_run ? Outcome::kUnknown : Outcome::kNotRun;
   step.reason = m_may_have_run ? m_unknown_reason : reason;
   step.retry_after = m_retry_after;
   return step;
--- a/src/router/request_decision.h
+++ b/src/router/request_decision.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <limits>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -108,6 +109,22 @@
   [[nodiscard]] Step OnLost(std::uint32_t attempt, requests::FailureReason reason);
   /// @}
 
+  /// \name Attempts that are set aside
+  /// A silent attempt may still be answered. It is set aside while another endpoint is asked, so
+  /// that it can go on if that endpoint refuses.
+  /// @{
+
+  /// \brief The attempt is silent. Returns the attempt that asks another endpoint, and sets this
+  /// one aside; kContinue if no other attempt is allowed; or kFinish if no endpoint is left.
+  [[nodiscard]] Step OnSilent(std::uint32_t attempt);
+
+  /// \brief The attempt that was set aside is the current one again.
+  void OnSetAsideResumed();
+
+  /// \brief The attempt that was set aside is given up.
+  void OnSetAsideLost();
+  /// @}
+
   /// \name Events of the request
   /// @{
 
@@ -121,7 +138,7 @@
 
   /// \brief Number of events that did not belong to the current attempt.
   [[nodiscard]] std::uint32_t unmatched_events() const noexcept { return m_unmatched_events; }
-  [[nodiscard]] std::uint32_t attempts() const noexcept { return m_attempt; }
+  [[nodiscard]] std::uint32_t attempts() const noexcept { return m_attempts; }
   [[nodiscard]] bool finished() const noexcept { return m_phase == Phase::kFinished; }
 
  private:
@@ -141,7 +158,15 @@
   /// The endpoints that the plan may choose, with their addresses.
   std::vector<Candidate> m_candidates;
   Phase m_phase = Phase::kIdle;
+  /// Number of attempts that were started.
+  std::uint32_t m_attempts = 0;
+  /// Number of the current attempt.
   std::uint32_t m_attempt = 0;
+  struct SetAside {
+    std::uint32_t attempt = 0;
+    Phase phase = Phase::kIdle;
+  };
+  std::optional<SetAside> m_set_aside;
   std::uint32_t m_failures = 0;
   std::uint32_t m_sent = 0;
   std::uint32_t m_unmatched_events = 0;
--- a/tests/soak/soak_caller.cc
+++ b/tests/soak/soak_caller.cc
@@ -77,7 +77,7 @@
 void SoakCaller::OnResponseEnd(bool reusable) {
   m_request->complete = true;
   if (reusable) {
-    m_connection->SetIdleObserver(this);
+    m_connection->SetObserver(this);
   } else {
     DropConnection();
   }
--- a/tests/unit/forward_silence_test.cc
+++ b/tests/unit/forward_silence_test.cc
@@ -33,6 +33,11 @@
   return route;
 }
 
+/// Refuses a request as a full endpoint does.
+void RefuseAsFull(Connection& connection) {
+  connection.Write(testing::HttpText(503, SignedHeaders(connection) + "Refused: 1\r\n", ""));
+}
+
 /// Answers a resumed stream with its last two events.
 void ResumeFrom1(Connection& connection) {
   connection.Write(StreamHead(connection) + Event(2) + Event(3) + "0\r\n\r\n");
@@ -63,6 +68,113 @@
   cr_assert_eq(fleet.arrivals, 1);
 }
 
+// Guards against cutting a sound stream that pauses, for an endpoint that has no place for it: the
+// refused attempt is the last that the route allows.
+Test(forward_silence, keeps_a_paused_stream_when_the_other_endpoint_is_full) {
+  std::list<net::Timer> timers;
+  auto route = ResumableRoute();
+  route.max_attempts = 2;
+  TwoEndpoints fleet(
+      route,
+      [&](Connection& connection) {
+        connection.Write(StreamHead(connection) + Event(1));
+        timers
+            .emplace_back(fleet.loop,
+                          [&connection] {
+                            if (!connection.closed()) {
+                              connection.Write(Event(2) + Event(3) + "0\r\n\r\n");
+                            }
+                          })
+            .Start(1'600ms);
+      },
+      RefuseAsFull);
+  const auto answer = fleet.Call();
+  cr_assert(answer->complete);
+  cr_assert_eq(answer->body, std::string("id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n"));
+  cr_assert_eq(fleet.arrivals, 2);
+}
+
+// Guards against failing a request whose endpoint is slow to begin its answer, for an endpoint that
+// has no place for it.
+Test(forward_silence, keeps_a_slow_call_when_the_other_endpoint_is_full) {
+  for (const RequestKind kind : {RequestKind::kIdempotent, RequestKind::kStream}) {
+    std::list<net::Timer> timers;
+    auto route = ResumableRoute();
+    route.kind = kind;
+    route.max_attempts = 2;
+    TwoEndpoints fleet(
+        route,
+        [&](Connection& connection) {
+          timers
+              .emplace_back(fleet.loop,
+                            [&connection] {
+                              if (!connection.closed()) {
+                                testing::AnswerOk(connection);
+                              }
+                            })
+              .Start(1'000ms);
+        },
+        RefuseAsFull);
+    cr_assert_eq(fleet.Call()->status, 200);
+    cr_assert_eq(fleet.arrivals, 2);
+  }
+}
+
+// Guards against two endpoints that work on one request: the silent one is left at once when the
+// other one begins its answer, and soon when that one only takes the request.
+Test(forward_silence, leaves_the_silent_endpoint_when_another_takes_the_request, .timeout = 30) {
+  for (const bool answers_at_once : {true, false}) {
+    std::list<net::Timer> timers;
+    Connection* silent = nullptr;
+    TwoEndpoints fleet(
+        ResumableRoute(),
+        [&silent](Connection& connection) {
+          silent = &connection;
+          connection.Write(StreamHead(connection) + Event(1));
+        },
+        [&](Connection& connection) {
+          if (answers_at_once) {
+            connection.Write(StreamHead(connection) + Event(2));
+          }
+          timers
+              .emplace_back(fleet.loop,
+                            [&connection, answers_at_once] {
+                              connection.Write((answers_at_once ? "" : StreamHead(connection)) +
+                                               Event(3) + "0\r\n\r\n");
+                            })
+              .Start(700ms);
+        });
+    const auto answer = fleet.Send();
+    cr_assert(fleet.RunUntil([&] { return fleet.arrivals == 2; }));
+    fleet.loop.RunFor(answers_at_once ? 100ms : 300ms);
+    cr_assert(silent->closed());
+    cr_assert(fleet.RunUntil([&] { return answer->complete; }));
+    cr_assert_eq(fleet.arrivals, 2);
+  }
+}
+
+// Guards against passing on what a silent endpoint sends while another one continues the stream.
+Test(forward_silence, passes_on_the_events_of_one_endpoint_only) {
+  Connection* silent = nullptr;
+  TwoEndpoints fleet(
+      ResumableRoute(),
+      [&silent](Connection& connection) {
+        silent = &connection;
+        connection.Write(StreamHead(connection) + Event(1));
+      },
+      [&silent](Connection& connection) {
+        if (!silent->closed()) {
+          silent->Write(Event(2) + Event(3) + "0\r\n\r\n");
+        }
+        connection.Write(StreamHead(connection) + Event(2) + Event(3) + Event(4) + "0\r\n\r\n");
+      });
+  const auto answer = fleet.Call();
+  cr_assert(answer->complete);
+  cr_assert(answer->body.ends_with("id: 3\ndata: 3\n\nid: 4\ndata: 4\n\n"), "%s",
+            answer->body.c_str());
+  cr_assert_eq(answer->body.find("id: 2"), answer->body.rfind("id: 2"));
+}
+
 // Guards against a stalled stream that counts as alive because it sends comments.
 Test(forward_silence, moves_a_stream_that_sends_only_comments) {
   std::list<net::Timer> timers;
--- a/tests/unit/router_decision_test.cc
+++ b/tests/unit/router_decision_test.cc
@@ -294,3 +294,68 @@
   cr_assert_eq(attempts, 3U);
   cr_assert_eq(step.outcome, Outcome::kUnknown);
 }
+
+/// A silent first attempt and a second one that was sent, to two of two endpoints.
+struct SilentRequest {
+  explicit SilentRequest(bool answer_began) {
+    first = decision.Begin();
+    decision.OnHandedOver(first.attempt);
+    if (answer_began) {
+      decision.OnAdmitted(first.attempt);
+      decision.OnHead(first.attempt);
+    }
+    second = decision.OnSilent(first.attempt);
+    cr_assert_eq(second.kind, Step::Kind::kAttempt);
+    cr_assert_eq(second.attempt, 2U);
+    decision.OnHandedOver(second.attempt);
+  }
+
+  static RequestPolicy Policy() {
+    RequestPolicy policy;
+    policy.max_sent = 2;
+    policy.candidates = {.max_candidates = 4, .max_last_resorts = 0};
+    policy.charge_only_arrived_attempts = true;
+    return policy;
+  }
+
+  RetryBudget budget;
+  RequestDecision decision{Policy(), Candidates(2), budget};
+  Step first;
+  Step second;
+};
+
+// Guards against losing the answer of a silent attempt because another endpoint refused the
+// request, and against calling a request not run while the silent attempt may run it.
+Test(request_decision, silent_attempt_can_go_on) {
+  SilentRequest request(true);
+  const Step refused =
+      request.decision.OnRefused(request.second.attempt, {.reason = FailureReason::kOverBound});
+  cr_assert_eq(refused.kind, Step::Kind::kFinish);
+  cr_assert_eq(refused.outcome, Outcome::kUnknown);
+  request.decision.OnSetAsideResumed();
+  cr_assert_eq(request.decision.OnSilent(request.first.attempt).kind, Step::Kind::kContinue);
+  const Step complete = request.decision.OnComplete(request.first.attempt);
+  cr_assert_eq(complete.kind, Step::Kind::kFinish);
+  cr_assert_eq(complete.outcome, Outcome::kResult);
+}
+
+// Guards against an unknown outcome where both endpoints say that they have not run the request.
+Test(request_decision, silent_attempt_can_still_be_refused) {
+  SilentRequest request(false);
+  (void)request.decision.OnRefused(request.second.attempt, {.reason = FailureReason::kOverBound});
+  request.decision.OnSetAsideResumed();
+  const Step step =
+      request.decision.OnRefused(request.first.attempt, {.reason = FailureReason::kOverBound});
+  cr_assert_eq(step.kind, Step::Kind::kFinish);
+  cr_assert_eq(step.outcome, Outcome::kNotRun);
+}
+
+// Guards against calling a request not run that a silent attempt, which was given up, may have run.
+Test(request_decision, silent_attempt_that_is_given_up_may_have_run) {
+  SilentRequest request(false);
+  request.decision.OnSetAsideLost();
+  const Step step =
+      request.decision.OnRefused(request.second.attempt, {.reason = FailureReason::kOverBound});
+  cr_assert_eq(step.kind, Step::Kind::kFinish);
+  cr_assert_eq(step.outcome, Outcome::kUnknown);
+}
