Refuse requests on kept connections while a router with agents drains

Change: from the time at which the listener closes, they are refused with not_ready, which has not run.

--- a/src/router/http_front_end.cc
+++ b/src/router/http_front_end.cc
@@ -382,9 +382,10 @@
   std::this_thread::sleep_for(balancer_delay);
   m_state->Quiesce();
   StopReport report;
-  const bool is_idle = m_state->WaitUntilIdle(drain_timeout);
-  // Keep-alive connections may still send requests, which are refused from now on.
+  // Keep-alive connections may still send requests. They are refused from now on, since the end of
+  // the drain could cut them.
   m_state->closing = true;
+  const bool is_idle = m_state->WaitUntilIdle(drain_timeout);
   if (!is_idle) {
     report.terminated_requests = m_state->flow.EndAll(FailureReason::kShutdownTimeout);
     Log(kStreamsTerminated, {{"count", report.terminated_requests}});
--- a/tests/unit/router_front_end_test.cc
+++ b/tests/unit/router_front_end_test.cc
@@ -306,6 +306,27 @@
   cr_assert_eq(late.ReadToEnd(), "");
 }
 
+// Guards against accepting a request on a kept connection that the end of the drain may cut.
+Test(front_end, refuses_requests_while_it_drains) {
+  RouterFixture router(1);
+  AgentPlan hanging = StreamedAnswer();
+  hanging.hangs = true;
+  router.Agent(0).SetPlans({PlainAnswer("first"), hanging, PlainAnswer("late")});
+  RawConnection kept(router.FrontEnd().Address());
+  kept.Write(RouterFixture::Chat());
+  (void)kept.ReadUntil("first");
+  RawConnection stream(router.FrontEnd().Address());
+  stream.Write(RouterFixture::Chat("Connection: close\r\n"));
+  (void)stream.ReadUntil("[DONE]");
+  std::thread stop([&router] { (void)router.FrontEnd().Stop(0ms, 1'000ms); });
+  std::this_thread::sleep_for(300ms);
+  kept.Write(RouterFixture::Chat());
+  const std::string received = kept.ReadUntil("not_ready");
+  stop.join();
+  cr_assert(Contains(received, "\"type\":\"not_ready\""), "%s", received.c_str());
+  cr_assert_not(Contains(received, "late"));
+}
+
 // Guards against a state dump that is not JSON or misses the connections.
 Test(front_end, dumps_its_state) {
   RouterFixture router(1);
