--- a/src/core/json_fields.h
+++ b/src/core/json_fields.h
@@ -8,10 +8,21 @@
 
 namespace wagtailwind::json_fields {
 
-/// \brief Parses JSON; throws Exception if `text` is not valid JSON.
+/// \brief Largest depth of nested arrays and objects. Each level of a document takes many times the
+/// memory of the byte that opens it.
+inline constexpr int kMaxDepth = 32;
+
+/// \brief Parses JSON; throws Exception if `text` is not valid JSON or is nested more than
+/// kMaxDepth levels deep.
 template <typename Exception>
 nlohmann::json ParseJson(std::string_view text) {
-  nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
+  const auto check_depth = [](int depth, nlohmann::json::parse_event_t, nlohmann::json&) {
+    if (depth > kMaxDepth) {
+      throw Exception("the text is nested too deeply");
+    }
+    return true;
+  };
+  nlohmann::json document = nlohmann::json::parse(text, check_depth, false);
   if (document.is_discarded()) {
     throw Exception("the text is not valid JSON");
   }
@@ -49,6 +60,19 @@
   return value.get<std::uint64_t>();
 }
 
+/// \brief Returns a required unsigned integer; throws Exception if it is missing, of another type,
+/// or not within the bounds.
+template <typename Exception>
+std::uint64_t BoundedField(const nlohmann::json& object, const char* name, std::uint64_t minimum,
+                           std::uint64_t maximum) {
+  const std::uint64_t value = UnsignedField<Exception>(object, name);
+  if (value < minimum || value > maximum) {
+    throw Exception(std::string(name) + " is not between " + std::to_string(minimum) + " and " +
+                    std::to_string(maximum));
+  }
+  return value;
+}
+
 /// \brief Returns a required array; throws Exception if it is missing or of another type.
 template <typename Exception>
 const nlohmann::json& ArrayField(const nlohmann::json& object, const char* name) {
--- a/src/http/socket_address.h
+++ b/src/http/socket_address.h
@@ -37,9 +37,9 @@
   /// \brief Returns the address as `ip:port`.
   [[nodiscard]] std::string Text() const;
 
- private:
   [[nodiscard]] std::uint16_t Port() const noexcept;
 
+ private:
   sockaddr_storage m_storage;
   socklen_t m_size;
 };
--- a/tests/unit/platform_record_decoder_test.cc
+++ b/tests/unit/platform_record_decoder_test.cc
@@ -1,4 +1,8 @@
+#include <sys/resource.h>
+
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "forward/deployment_adapter.h"
 #include "platform/adapter.h"
@@ -51,6 +55,77 @@
   }
 }
 
+// Guards against numbers of another writer that wrap around or overflow: no slots, a port that none
+// can connect to, a start far outside of the clock's range.
+Test(platform_records, refuses_entries_with_numbers_out_of_range) {
+  for (const auto& [from, to] : std::vector<std::pair<std::string, std::string>>{
+           {":8080", ":0"},
+           {":8080", ":65536"},
+           {":8080", ":-1"},
+           {":8080", ":99999999999999999999"},
+           {":32", ":0"},
+           {":32", ":-1"},
+           {":32", ":4294967296"},
+           {":32", ":18446744073709551615"},
+           {":32", ":18446744073709551616"},
+           {":32", ":1e999"},
+           {"1700000000000", "9223372036854775807"},
+           {"1700000000000", "9223372036855"},
+           {"1700000000000", "18446744073709551615"},
+           {"\"ColdLeftMs\":0", "\"ColdLeftMs\":1e400"}}) {
+    cr_assert_throw((void)adapter::DecodeEndpoint("i-1", Replaced(kEntry, from, to)),
+                    MalformedEndpointEntry, "%s instead of %s", to.c_str(), from.c_str());
+  }
+  cr_assert_eq(adapter::DecodeEndpoint("i-1", Replaced(kEntry, ":8080", ":65535")).slots, 32);
+}
+
+// Guards against an entry whose name would end the header field in which it is sent.
+Test(platform_records, refuses_names_that_are_no_header_value) {
+  for (const std::string name : {"i-1\r\nApi-Key: x", "i 1", "i\t1", "i-\x7f", "i-\xc3\xa9"}) {
+    cr_assert_throw((void)adapter::DecodeEndpoint(name, kEntry), MalformedEndpointEntry, "%s",
+                    name.c_str());
+  }
+}
+
+// Guards against a process that runs out of memory, again after each restart, because another
+// writer has left an entry that takes many times its size when it is decoded.
+Test(platform_records, decodes_odd_entries_within_a_memory_bound) {
+  // The store's largest value. Decoding may take eight times as much: a small part of the smallest
+  // machine's 112 MB.
+  constexpr std::size_t kValueBytes = 1U << 20U;
+  constexpr long kMaxGrowthKilobytes = 8 * kValueBytes / 1024;
+  const auto peak_kilobytes = [] {
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    return usage.ru_maxrss;
+  };
+  const auto nested = [](std::string_view open, std::string_view close, std::size_t levels) {
+    std::string text;
+    for (std::size_t i = 0; i < levels; ++i) {
+      text += open;
+    }
+    text += '1';
+    for (std::size_t i = 0; i < levels; ++i) {
+      text += close;
+    }
+    return text;
+  };
+  std::vector<std::string> values;
+  for (const std::size_t bytes : {std::size_t{60'000}, kValueBytes}) {
+    values.push_back(std::string(bytes, '['));
+    values.push_back(nested("[", "]", bytes / 2));
+    values.push_back(nested("{\"a\":", "}", bytes / 6));
+    values.push_back(Replaced(kEntry, "\"v1\"", nested("[", "]", bytes / 2)));
+    values.push_back("[" + nested("{},", "", bytes / 3));
+  }
+  values.push_back(Replaced(kEntry, "\"Adapters\":[]", "\"Adapters\":" + nested("[", "]", 1'000)));
+  const long before = peak_kilobytes();
+  for (const std::string& value : values) {
+    cr_assert_throw((void)adapter::DecodeEndpoint("i-1", value), MalformedEndpointEntry);
+  }
+  cr_assert_leq(peak_kilobytes() - before, kMaxGrowthKilobytes);
+}
+
 // Guards against routes, keys or limits that the decoder drops or changes.
 Test(platform_records, decodes_a_configuration) {
   const auto configuration = adapter::DecodeConfiguration(
