Soak with odd entries of endpoints and repeated refusals

All the time, another writer leaves odd entries in the list, and each endpoint writes a refusal once more when the next request arrives on its connection.

--- a/tests/soak/soak_endpoint_main.cc
+++ b/tests/soak/soak_endpoint_main.cc
@@ -8,6 +8,7 @@
 #include <cxxopts.hpp>
 #include <iostream>
 #include <list>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -84,9 +85,20 @@
            "\r\n" + m_names.load + ": " + std::to_string(m_runs.size()) + ",0,32\r\n";
   }
 
-  void Refuse(Connection& connection, int status) const {
-    Record("refuse", std::string(http::FindHeader(connection.head.headers, m_names.attempt_id)));
-    connection.Write(HttpText(status, m_names.not_run + ": 1\r\n", ""));
+  void Refuse(Connection& connection, int status) {
+    const std::string attempt(http::FindHeader(connection.head.headers, m_names.attempt_id));
+    Record("refuse", attempt);
+    const std::string text = HttpText(
+        status, m_names.not_run + ": 1\r\n" + m_names.attempt_id + ": " + attempt + "\r\n", "");
+    connection.Write(text);
+    m_refusals[&connection] = text;
+  }
+
+  /// Writes the last refusal on the connection once more, as a faulty endpoint does.
+  void RepeatRefusal(Connection& connection) {
+    if (auto refusal = m_refusals.extract(&connection)) {
+      connection.Write(refusal.mapped());
+    }
   }
 
   void Handle(Connection& connection) {
@@ -111,6 +123,7 @@
       Refuse(connection, kUnavailable);
       return;
     }
+    RepeatRefusal(connection);
     Run& run = m_runs.emplace_back();
     run.connection = &connection;
     run.attempt = field(m_names.attempt_id);
@@ -227,6 +240,7 @@
   /// Active fault: `fail`, `lose`, `truncate`, `refuse`, `hang`, `endless`, or empty.
   std::string m_mode;
   std::list<Run> m_runs;
+  std::map<const Connection*, std::string> m_refusals;
   ScriptedServer m_server;
   testing::EndlessWriter m_endless_writer;
   int m_endless_calls = 0;
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -4,6 +4,8 @@
 
 #include <csignal>
 #include <fstream>
+#include <iterator>
+#include <limits>
 #include <sstream>
 
 #include "support/process_usage.h"
@@ -191,6 +193,20 @@
                              endpoint.incarnation));
 }
 
+void SoakFleet::PutOddEntry() {
+  constexpr std::size_t kNestedLevels = 256U << 10U;
+  const std::string address = m_store.Address();
+  const std::string values[] = {
+      "no entry",
+      std::string(kNestedLevels, '['),
+      EncodeEndpoint("alpha", "127.0.0.1:70000", false, 1),
+      EncodeEndpoint("alpha", "127.0.0.1:0", false, 1),
+      EncodeEndpoint("alpha", address, false, std::numeric_limits<std::uint64_t>::max()),
+  };
+  const std::size_t odd = m_odd_entries++ % std::size(values);
+  m_store.Put(kEndpointPrefix + std::string("odd-") + std::to_string(odd), values[odd]);
+}
+
 void SoakFleet::ChangeConfiguration() {
   if (m_store_faults > 0) {
     return;
@@ -465,6 +481,7 @@
 
 void SoakFleet::Tick() {
   ReadEndpointLog();
+  PutOddEntry();
   for (std::size_t i = 0; i < m_routers.size(); ++i) {
     // Until it runs its program, a new process has the memory of the soak.
     if (m_clock.Now() - m_routers[i].started > kProgramStartTime) {
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -94,6 +94,8 @@
   void StartRouter(std::size_t index);
   void StartEndpoint(Endpoint& endpoint);
   void PutEndpoint(const Endpoint& endpoint);
+  /// Writes an entry that names no endpoint to use among those of the endpoints.
+  void PutOddEntry();
   [[nodiscard]] std::vector<histories::FaultKind> WithTargets(
       std::vector<histories::FaultKind> kinds) const;
   static void SetMode(const Endpoint& endpoint, const std::string& mode);
@@ -123,6 +125,7 @@
   OperatorConfiguration m_configuration;
   std::uint64_t m_requests = 0;
   std::uint64_t m_last_incarnation = 0;
+  std::size_t m_odd_entries = 0;
   std::streamoff m_log_position = 0;
   std::list<net::Timer> m_timers;
 };
