Abort a stream whose continuation is refused as malformed

A refusal with status 400 was answered to the caller with a head of its own, in the middle of the chunks of the stream. Before the first event, the caller was told 400 though an earlier attempt may have run. Cause: the refusal ended the request beside the decision about its outcome, without looking at what had been sent. Change: it is a final refusal for the decision. A stream that has begun is aborted; without one, the outcome is unknown (502) if an earlier attempt may have run, and 400 otherwise. Evidence: both tests of forward_broken_stream failed before, the first one with the bytes above, and pass now.

--- a/src/forward/forward_task_answer.cc
+++ b/src/forward/forward_task_answer.cc
@@ -378,11 +378,10 @@
       endpoint->full_until = now + kFullBackoff;
       LogFailedAttempt(endpoint, requests::ToText(FailureReason::kOverBound),
                        {"status", m_current.answer_head.status});
-      if (m_current.answer_head.status == detail::kStatusBadRequest) {
-        Refuse(detail::kStatusBadRequest, FailureReason::kMalformedRequest);
-        return;
-      }
-      RunStep(m_decision->OnRefused(m_current.number, {.reason = FailureReason::kOverBound}));
+      RunStep(m_decision->OnRefused(
+          m_current.number, {.reason = m_current.answer_head.status == detail::kStatusBadRequest
+                                           ? FailureReason::kMalformedRequest
+                                           : FailureReason::kOverBound}));
       return;
     case AnswerKind::kFailure:
       CountAttempt("failed");
--- a/src/forward/forward_task_response.cc
+++ b/src/forward/forward_task_response.cc
@@ -119,6 +119,10 @@
 }
 
 void ForwardTask::FinishNotRun(FailureReason reason) {
+  if (reason == FailureReason::kMalformedRequest) {
+    Refuse(requests::HttpStatus(reason), reason);
+    return;
+  }
   std::optional<std::chrono::milliseconds> retry_after = kRetryWhenFull;
   if (reason == FailureReason::kDeadlineExceeded) {
     retry_after.reset();
