Do not end a stream with a continuation that has no event

Found while the answers to resumed streams were looked through: an answer without length and chunks that ended before its first event counted as broken off only if the stream had no event at all. A stream that was continued by such an answer, as an endpoint sends it that crashes when it begins, looked complete to its caller. Change: the events of the attempt count, repeated ones included, not those of the whole stream. Evidence: forward_broken_stream/does_not_end_with_a_continuation_that_has_no_event failed before, and passes now.

--- a/src/forward/forward_task_answer.cc
+++ b/src/forward/forward_task_answer.cc
@@ -336,8 +336,9 @@
 
 bool ForwardTask::IsBrokenStream() const noexcept {
   const bool has_end = m_current.answer_head.chunked || m_current.answer_head.content_length;
+  const bool has_event = m_current.last_event_at || m_current.repeated_bytes > 0;
   return m_current.kind == AnswerKind::kEvents && !has_end &&
-         (m_events == 0 || m_current.framer.IsInsideEvent());
+         (!has_event || m_current.framer.IsInsideEvent());
 }
 
 void ForwardTask::OnResponseEnd(bool reusable) {
--- a/tests/unit/forward_broken_stream_test.cc
+++ b/tests/unit/forward_broken_stream_test.cc
@@ -115,6 +115,21 @@
   }
 }
 
+// Guards against a stream that looks complete, because the endpoint that should continue it ends
+// its answer, which has neither a length nor chunks, before the first event.
+Test(forward_broken_stream, does_not_end_with_a_continuation_that_has_no_event) {
+  for (const char* text : {"", "\n", ": comment\n\n"}) {
+    TwoEndpoints fleet(ResumableRoute(), BreakOff, [text](Connection& connection) {
+      connection.Write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
+                       SignedHeaders(connection) + "\r\n" + text);
+      connection.Close();
+    });
+    const auto answer = fleet.Call();
+    cr_assert_not(answer->complete, "%s", text);
+    cr_assert_eq(fleet.arrivals, 2);
+  }
+}
+
 // Guards against a status that a caller takes for its own fault, when an endpoint refuses the
 // repeat of a request that an earlier endpoint may have run.
 Test(forward_broken_stream, repeat_that_is_refused_as_malformed_has_an_unknown_outcome) {
