Resume a stream whose length or chunks end inside an event

Found while the answers to resumed streams were looked through: a stream that ends inside an event has been broken off, but that was checked only for streams without length and chunks. In the others, a part of an event was passed on as the end of the stream. Change: the same check for all streams.

--- a/src/forward/forward_task_answer.cc
+++ b/src/forward/forward_task_answer.cc
@@ -335,10 +335,12 @@
 }
 
 bool ForwardTask::IsBrokenStream() const noexcept {
+  if (m_current.kind != AnswerKind::kEvents) {
+    return false;
+  }
   const bool has_end = m_current.answer_head.chunked || m_current.answer_head.content_length;
   const bool has_event = m_current.last_event_at || m_current.repeated_bytes > 0;
-  return m_current.kind == AnswerKind::kEvents && !has_end &&
-         (!has_event || m_current.framer.IsInsideEvent());
+  return m_current.framer.IsInsideEvent() || (!has_end && !has_event);
 }
 
 void ForwardTask::OnResponseEnd(bool reusable) {
--- a/tests/unit/forward_broken_stream_test.cc
+++ b/tests/unit/forward_broken_stream_test.cc
@@ -140,3 +140,27 @@
       });
   cr_assert_eq(fleet.Call()->status, 502);
 }
+
+// Guards against passing on a part of an event as the end of a stream: the endpoint ended its
+// answer in due form, but inside an event.
+Test(forward_broken_stream, is_resumed_if_its_chunks_or_length_end_inside_an_event) {
+  const std::string begin = "id: 1\ndata: 1\n\nid: 2\nda";
+  for (const bool chunked : {true, false}) {
+    TwoEndpoints fleet(
+        ResumableRoute(),
+        [&](Connection& connection) {
+          connection.Write(
+              chunked
+                  ? StreamHead(connection) + Chunk(begin) + "0\r\n\r\n"
+                  : HttpText(200, SignedHeaders(connection) + "Content-Type: text/event-stream\r\n",
+                             begin));
+        },
+        [](Connection& connection) {
+          connection.Write(StreamHead(connection) + Event(2) + "0\r\n\r\n");
+        });
+    const auto answer = fleet.Call();
+    cr_assert(answer->complete);
+    cr_assert_eq(answer->body, std::string("id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"));
+    cr_assert_eq(fleet.arrivals, 2);
+  }
+}
