Stop using an endpoint that announces in an answer that it leaves

Cause: the field was not decoded, so that an endpoint that leaves without an entry that says so got requests to its end. Change: from the head of an answer with the announcement on, of whatever kind, its process gets no new request: first attempts, retries, continued streams, delayed steps, connections that are still being opened, and pooled ones. Running requests go on. The registry keeps it like a draining endpoint, also if the entry is renewed, or deleted and written again, and for 256 processes at most; another process of that name or address starts without it.

--- a/src/forward/endpoint_registry.cc
+++ b/src/forward/endpoint_registry.cc
@@ -1,5 +1,6 @@
 #include "forward/endpoint_registry.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -17,6 +18,10 @@
 // this router noticed the recovery late.
 constexpr std::chrono::milliseconds kRewriteGraceTime = 2'500ms;
 
+// Number of announcements that are remembered: more than endpoints leave within the time in which a
+// deleted entry of the same process may be written again.
+constexpr std::size_t kMaxLeaving = 256;
+
 // Initial value: the service has not been seen to recover. A process that starts during an outage
 // has no recovery to count the grace time from.
 constexpr SteadyTime kNever{};
@@ -50,8 +55,9 @@
     }
     auto endpoint = std::make_shared<Endpoint>();
     endpoint->record = record;
+    endpoint->record.draining = record.draining || HasAnnouncedLeaving(record);
     endpoint->load = LoadEstimate(average);
-    endpoint->usable = !record.draining;
+    endpoint->usable = !endpoint->record.draining;
     m_entries.emplace(record.name.value(), Entry{.endpoint = std::move(endpoint)});
     m_lists_outdated = true;
     return;
@@ -144,6 +150,28 @@
   }
 }
 
+bool EndpointRegistry::OnLeaving(Endpoint& endpoint) {
+  if (HasAnnouncedLeaving(endpoint.record)) {
+    return false;
+  }
+  m_leaving.push_back({.name = endpoint.record.name,
+                       .incarnation = endpoint.record.incarnation,
+                       .address = endpoint.record.address});
+  if (m_leaving.size() > kMaxLeaving) {
+    m_leaving.pop_front();
+  }
+  endpoint.record.draining = true;
+  endpoint.usable = false;
+  m_lists_outdated = true;
+  return true;
+}
+
+bool EndpointRegistry::HasAnnouncedLeaving(const EndpointRecord& record) const {
+  const LeavingProcess process{
+      .name = record.name, .incarnation = record.incarnation, .address = record.address};
+  return std::find(m_leaving.begin(), m_leaving.end(), process) != m_leaving.end();
+}
+
 const std::vector<EndpointPtr>& EndpointRegistry::Usable(std::string_view service) const {
   RefreshLists();
   return EndpointsOf(m_usable, service);
--- a/src/forward/endpoint_registry.h
+++ b/src/forward/endpoint_registry.h
@@ -2,6 +2,7 @@
 #define WAGTAILWIND_FORWARD_ENDPOINT_REGISTRY_H_
 
 #include <chrono>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -47,6 +48,11 @@
   /// \brief Stops using an endpoint because another process answers at its address.
   void OnAddressReused(const EndpointName& name);
 
+  /// \brief Stops using an endpoint because it has announced that it leaves. This holds for the
+  /// process that announced it, whatever its entry says, also if the entry is deleted and written
+  /// again. Returns false if the announcement is known.
+  bool OnLeaving(Endpoint& endpoint);
+
   /// \brief Returns the usable endpoints of a service.
   [[nodiscard]] const std::vector<EndpointPtr>& Usable(std::string_view service) const;
 
@@ -69,11 +75,23 @@
     std::optional<SteadyTime> grace_until{};
   };
 
+  /// A process that has announced that it leaves.
+  struct LeavingProcess {
+    EndpointName name;
+    Incarnation incarnation = 0;
+    std::string address;
+
+    friend bool operator==(const LeavingProcess&, const LeavingProcess&) = default;
+  };
+
+  [[nodiscard]] bool HasAnnouncedLeaving(const EndpointRecord& record) const;
   void Remove(std::map<std::string, Entry, std::less<>>::iterator entry);
   void RefreshLists() const;
 
   std::function<void(const EndpointPtr&)> m_on_removed;
   std::map<std::string, Entry, std::less<>> m_entries;
+  /// The newest announcements, the oldest first.
+  std::deque<LeavingProcess> m_leaving;
   /// By service.
   std::map<std::string, std::shared_ptr<LoadReportAverage>, std::less<>> m_load_averages;
   /// Derived from the entries; m_lists_outdated tells whether they must be rebuilt.
--- a/src/forward/forward_task.h
+++ b/src/forward/forward_task.h
@@ -164,6 +164,8 @@
   [[nodiscard]] AnswerKind Classify(const http1::MessageHead& head) const;
   void RecordLoadReport(const http1::MessageHead& head);
   void RecordRequestLimit(const http1::MessageHead& head);
+  /// Stops using an endpoint that announces in its answer that it leaves.
+  void RecordLeaving(const http1::MessageHead& head);
   /// Whether the current answer is a stream that ended, but broke off before its end.
   [[nodiscard]] bool IsBrokenStream() const noexcept;
   /// Whether the current answer is not a success.
--- a/src/forward/forward_task_answer.cc
+++ b/src/forward/forward_task_answer.cc
@@ -46,6 +46,9 @@
 constexpr std::string_view kUnusableAnswer =
     "response is unsigned, encoded, or no continuation of the stream";
 
+// Value of the field by which an endpoint announces that it leaves.
+constexpr std::string_view kLeaving = "1";
+
 // A full endpoint gets no new request for about the duration of a short request.
 constexpr std::chrono::milliseconds kFullBackoff = 100ms;
 
@@ -125,6 +128,22 @@
   }
 }
 
+void ForwardTask::RecordLeaving(const http1::MessageHead& head) {
+  const EndpointPtr& endpoint = m_current.connection->endpoint;
+  if (http::FindHeader(head.headers, m_context.names.leaving) != kLeaving ||
+      IsMutantEnabled("forwarder_ignores_announced_leaving") ||
+      !m_context.endpoints.OnLeaving(*endpoint)) {
+    return;
+  }
+  Log(kEndpointLeaving, {{"endpoint", endpoint->record.name.value()},
+                         {"service", endpoint->record.service.value()},
+                         {"incarnation", endpoint->record.incarnation},
+                         {"id", m_id},
+                         {"status", head.status}});
+  m_context.metrics.GetCounter("forward_endpoints_leaving_total").Add();
+  m_context.pool.CloseIdle(*endpoint);
+}
+
 bool ForwardTask::OnResponseHead(http1::MessageHead head) {
   m_current.connection->endpoint->health.OnBytesReceived(m_context.clock.Now());
   const std::string_view id = http::FindHeader(head.headers, m_context.names.attempt_id);
@@ -140,6 +159,7 @@
   }
   RecordLoadReport(head);
   RecordRequestLimit(head);
+  RecordLeaving(head);
   m_current.kind = Classify(head);
   if (m_current.kind != AnswerKind::kRefusal && m_current.kind != AnswerKind::kOtherProcess) {
     LoseSetAside();
--- a/src/forward/log_events.h
+++ b/src/forward/log_events.h
@@ -39,6 +39,7 @@
 inline constexpr LogEvent kEndpointLimitChanged{2236, LogLevel::kInfo, "endpoint_limit_changed"};
 inline constexpr LogEvent kRoutersChanged{2237, LogLevel::kInfo, "routers_changed"};
 inline constexpr LogEvent kLimitRecordIgnored{2238, LogLevel::kWarn, "limit_record_ignored"};
+inline constexpr LogEvent kEndpointLeaving{2239, LogLevel::kInfo, "endpoint_leaving"};
 
 }  // namespace wagtailwind::forward
 
--- a/src/forward/wire_names.h
+++ b/src/forward/wire_names.h
@@ -28,6 +28,8 @@
   /// Requests a second that the endpoint takes from all routers together; absent if it has no
   /// limit.
   std::string request_limit;
+  /// `1` in each answer of an endpoint that is about to leave.
+  std::string leaving;
   /// Priority of the request at the endpoint.
   std::string priority;
   /// Parts of the prompt, as `id:tokens`, separated by commas.
--- a/tests/support/forwarder_fixture.cc
+++ b/tests/support/forwarder_fixture.cc
@@ -52,6 +52,7 @@
   m_names.signature = "Signed";
   m_names.load = "Load";
   m_names.request_limit = "Limit";
+  m_names.leaving = "Leaving";
   m_names.priority = "Urgency";
   m_names.prompt_parts = "Parts";
   m_names.token_counts = "Tokens";
--- a/tests/unit/forward_endpoint_registry_test.cc
+++ b/tests/unit/forward_endpoint_registry_test.cc
@@ -49,6 +49,25 @@
   cr_assert_eq(fixture.removed.size(), 1);
 }
 
+// Guards against memory that grows with each endpoint that has ever announced that it leaves, and
+// against forgetting the newest ones.
+Test(endpoint_registry, remembers_a_bounded_number_of_announcements) {
+  Fixture fixture;
+  constexpr int kEndpoints = 2'000;
+  for (int i = 0; i < kEndpoints; ++i) {
+    const std::string name = "e" + std::to_string(i);
+    fixture.registry.Put(Record(name));
+    cr_assert(fixture.registry.OnLeaving(*fixture.registry.Find(name)));
+    cr_assert_not(fixture.registry.OnLeaving(*fixture.registry.Find(name)));
+    fixture.registry.Delete(name, fixture.clock.Now());
+    fixture.registry.Put(Record(name));
+    cr_assert_eq(fixture.Usable(), 0);
+    fixture.registry.Delete(name, fixture.clock.Now());
+  }
+  fixture.registry.Put(Record("e0"));
+  cr_assert_eq(fixture.Usable(), 1);
+}
+
 // Guards against an outdated entry that makes a draining endpoint usable again.
 Test(endpoint_registry, never_uses_a_process_again_that_has_drained) {
   Fixture fixture;
