Keep requests from an endpoint for the time that it names in a refusal

Cause: a refusal (503) kept requests from the endpoint for 100 ms, whatever time it named, and only if another endpoint had no such mark. Change: Retry-After in an endpoint's own 503 or 429 begins a pause. The longest valid time of a refusal counts, a later refusal can only extend it, and a value that is no number of seconds is logged and leaves the usual 100 ms. Until its end, the endpoint gets nothing: first attempts, retries, continued streams, probes of the circuit breaker, connections that are still being opened. Each router adds up to a tenth, at most 0.5 s, so that routers return at different times; then requests return over 2 s, step by step up to the router's part of the slots. If no endpoint takes a request, callers are refused at once, with the earliest time, at most 2 s, since other routers were not asked to pause. Endpoint::IsAvailable is the one place that asks the pause and the request limit.

--- a/src/forward/endpoint.h
+++ b/src/forward/endpoint.h
@@ -1,6 +1,8 @@
 #ifndef WAGTAILWIND_FORWARD_ENDPOINT_H_
 #define WAGTAILWIND_FORWARD_ENDPOINT_H_
 
+#include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -11,6 +13,7 @@
 #include "forward/endpoint_health.h"
 #include "forward/event_pace.h"
 #include "forward/load_estimate.h"
+#include "forward/refusal_pause.h"
 #include "forward/request_limit.h"
 
 namespace wagtailwind::forward {
@@ -43,12 +46,32 @@
   EventPace pace;
   /// Limit of requests that the endpoint named in its last answer.
   RequestQuota quota;
+  /// Time for which the endpoint wants no requests from this router.
+  RefusalPause pause;
   /// Open connections from this router to the endpoint.
   std::uint32_t connections = 0;
   /// The endpoint refused a request because it was full; it gets no new request before this time.
   SteadyTime full_until{};
   /// False once the endpoint drains, is removed, or another process uses its address.
   bool usable = true;
+
+  /// \brief Returns whether the endpoint takes a request of this router now: it has not asked for a
+  /// pause, and the router's share of its request limit is not used up.
+  [[nodiscard]] bool IsAvailable(SteadyTime now) const noexcept {
+    return pause.IsAvailable(now) && quota.IsAvailable(now);
+  }
+
+  /// \brief Returns the time until it does.
+  [[nodiscard]] std::chrono::nanoseconds WaitTime(SteadyTime now) const noexcept {
+    return std::max(pause.WaitTime(now), quota.WaitTime(now));
+  }
+
+  /// \brief Counts a request that is about to be sent; the endpoint must be available.
+  void OnSent(SteadyTime now) noexcept {
+    (void)quota.TryTake(now);
+    pause.OnSent(now);
+    load.OnSent();
+  }
 };
 
 using EndpointPtr = std::shared_ptr<Endpoint>;
--- a/src/forward/endpoint_ranking.cc
+++ b/src/forward/endpoint_ranking.cc
@@ -201,12 +201,11 @@
     total_load += candidate.load;
     found.total_failure_rate += endpoint->health.FailureRate(now);
     found.oldest = std::min(found.oldest, endpoint->record.started_at);
-    const RequestQuota& quota = endpoint->quota;
-    if (!quota.IsAvailable(now)) {
-      const auto wait = quota.WaitTime(now);
+    if (!endpoint->IsAvailable(now)) {
+      const auto wait = endpoint->WaitTime(now);
       found.limit_wait = std::min(found.limit_wait.value_or(wait), wait);
       found.at_limit.push_back(candidate);
-    } else if (request.is_costly || quota.IsIdle(now)) {
+    } else if (request.is_costly || endpoint->quota.IsIdle(now)) {
       found.endpoints.push_back(candidate);
     } else {
       reserved.push_back(candidate);
--- a/src/forward/forward_task.cc
+++ b/src/forward/forward_task.cc
@@ -45,11 +45,6 @@
 // Time to deliver the answer of a request that ended at its deadline.
 constexpr std::chrono::milliseconds kDeliveryTime = 100ms;
 
-// Retry-After while all endpoints have reached their request limits. Another router, to which the
-// caller's retry may come, has shares of other endpoints.
-constexpr std::chrono::milliseconds kMinRetryWhenLimited = 200ms;
-constexpr std::chrono::milliseconds kMaxRetryWhenLimited = 2'000ms;
-
 }  // namespace
 
 ForwardTask::ForwardTask(ForwardContext& context, CallerRequest request, ResponseSink& sink,
@@ -261,8 +256,7 @@
   }
   if (m_ranked.empty() && ranked.limit_wait) {
     Refuse(detail::kStatusUnavailable, FailureReason::kOverBound,
-           std::clamp(std::chrono::ceil<std::chrono::milliseconds>(*ranked.limit_wait),
-                      kMinRetryWhenLimited, kMaxRetryWhenLimited));
+           RetryAfterWait(*ranked.limit_wait));
     return false;
   }
   if (m_ranked.empty()) {
--- a/src/forward/forward_task.h
+++ b/src/forward/forward_task.h
@@ -163,7 +163,11 @@
   void OnConnectionEnd(http1::ConnectionEnd end, std::string_view detail) override;
   [[nodiscard]] AnswerKind Classify(const http1::MessageHead& head) const;
   void RecordLoadReport(const http1::MessageHead& head);
+  /// Whether the endpoint that is named in the request has sent this head.
+  [[nodiscard]] bool IsEndpointsOwn(const http1::MessageHead& head) const;
   void RecordRequestLimit(const http1::MessageHead& head);
+  /// Pauses an endpoint that names a time in a refusal.
+  void RecordPause(const http1::MessageHead& head);
   /// Stops using an endpoint that announces in its answer that it leaves.
   void RecordLeaving(const http1::MessageHead& head);
   /// Whether the current answer is a stream that ended, but broke off before its end.
@@ -201,6 +205,10 @@
               std::optional<std::chrono::milliseconds> retry_after = std::nullopt);
   void Finish(const router::Step& step);
   void FinishNotRun(requests::FailureReason reason);
+  /// Returns the Retry-After for a caller whose request can be sent after `wait`.
+  [[nodiscard]] static std::chrono::milliseconds RetryAfterWait(std::chrono::nanoseconds wait);
+  /// Returns the time until an endpoint of the service takes a request; 0 if there is none.
+  [[nodiscard]] std::chrono::nanoseconds EndpointWait() const;
   void Close(int status, std::string_view outcome, requests::FailureReason reason);
   void BeginStreamToCaller();
   /// @}
--- a/src/forward/forward_task_answer.cc
+++ b/src/forward/forward_task_answer.cc
@@ -46,6 +46,14 @@
 constexpr std::string_view kUnusableAnswer =
     "response is unsigned, encoded, or no continuation of the stream";
 
+// Routers that were refused together return at different times: each adds up to a tenth of the
+// pause that the endpoint has named, but at most this time.
+constexpr int kPauseSpreadDivisor = 10;
+constexpr std::chrono::milliseconds kMaxPauseSpread = 500ms;
+
+// Longer values of malformed fields are cut off in log lines.
+constexpr std::size_t kMaxLoggedValue = 64;
+
 // Value of the field by which an endpoint announces that it leaves.
 constexpr std::string_view kLeaving = "1";
 
@@ -68,8 +76,9 @@
 }  // namespace
 
 bool ForwardTask::UpdateRequest(std::string& request) {
-  m_current.withdrawn =
-      !m_current.connection->endpoint->usable || TimeLeft() <= 0ns || !IsKeyAccepted();
+  m_current.withdrawn = !m_current.connection->endpoint->usable ||
+                        m_current.connection->endpoint->pause.IsActive(m_context.clock.Now()) ||
+                        TimeLeft() <= 0ns || !IsKeyAccepted();
   if (m_current.withdrawn) {
     return false;
   }
@@ -115,17 +124,58 @@
   }
 }
 
-void ForwardTask::RecordRequestLimit(const http1::MessageHead& head) {
+bool ForwardTask::IsEndpointsOwn(const http1::MessageHead& head) const {
   const WireNames& names = m_context.names;
-  const bool is_endpoints_own =
-      head.status != kMisdirected && (!http::FindHeader(head.headers, names.signature).empty() ||
-                                      !http::FindHeader(head.headers, names.not_run).empty());
+  return head.status != kMisdirected && (!http::FindHeader(head.headers, names.signature).empty() ||
+                                         !http::FindHeader(head.headers, names.not_run).empty());
+}
+
+void ForwardTask::RecordRequestLimit(const http1::MessageHead& head) {
   // Bytes of another process, or none that the endpoint meant, say nothing of its limit.
-  if (is_endpoints_own) {
+  if (IsEndpointsOwn(head)) {
     m_context.on_request_limit(
         m_current.connection->endpoint,
-        ParseRequestLimit(http::FindHeader(head.headers, names.request_limit)));
+        ParseRequestLimit(http::FindHeader(head.headers, m_context.names.request_limit)));
+  }
+}
+
+void ForwardTask::RecordPause(const http1::MessageHead& head) {
+  const bool is_refusal =
+      (head.status == detail::kStatusUnavailable || head.status == kTooManyRequests) &&
+      IsEndpointsOwn(head);
+  if (!is_refusal) {
+    return;
   }
+  const EndpointPtr& endpoint = m_current.connection->endpoint;
+  std::optional<std::chrono::nanoseconds> longest;
+  for (const http::Header& header : head.headers) {
+    if (!http::SameName(header.name, "Retry-After")) {
+      continue;
+    }
+    const auto time = ParsePauseTime(header.value);
+    if (time) {
+      longest = std::max(longest.value_or(0ns), *time);
+    } else {
+      Log(kPauseIgnored, {{"id", m_id},
+                          {"endpoint", endpoint->record.name.value()},
+                          {"value", std::string_view(header.value).substr(0, kMaxLoggedValue)}});
+    }
+  }
+  if (!longest || *longest == 0ns) {
+    return;
+  }
+  const SteadyTime now = m_context.clock.Now();
+  const auto spread =
+      std::min<std::chrono::nanoseconds>(*longest / kPauseSpreadDivisor, kMaxPauseSpread);
+  endpoint->pause.Extend(
+      *longest + std::chrono::nanoseconds(static_cast<std::int64_t>(
+                     m_context.random.NextFraction() * static_cast<double>(spread.count()))),
+      endpoint->record.slots / static_cast<double>(m_context.OtherRouters() + 1), now);
+  Log(kEndpointPaused, {{"id", m_id},
+                        {"endpoint", endpoint->record.name.value()},
+                        {"asked_ms", detail::ToMilliseconds(*longest)},
+                        {"left_ms", detail::ToMilliseconds(endpoint->pause.WaitTime(now))}});
+  m_context.metrics.GetCounter("forward_endpoint_pauses_total").Add();
 }
 
 void ForwardTask::RecordLeaving(const http1::MessageHead& head) {
@@ -159,6 +209,7 @@
   }
   RecordLoadReport(head);
   RecordRequestLimit(head);
+  RecordPause(head);
   RecordLeaving(head);
   m_current.kind = Classify(head);
   if (m_current.kind != AnswerKind::kRefusal && m_current.kind != AnswerKind::kOtherProcess) {
--- a/src/forward/forward_task_attempts.cc
+++ b/src/forward/forward_task_attempts.cc
@@ -79,18 +79,17 @@
 
 bool ForwardTask::StartAttempt(const router::Step& step, const EndpointPtr& endpoint) {
   const SteadyTime now = m_context.clock.Now();
-  if (!endpoint->usable || TimeLeft() < kMinAttemptTime || !endpoint->quota.IsAvailable(now)) {
+  if (!endpoint->usable || TimeLeft() < kMinAttemptTime || !endpoint->IsAvailable(now)) {
     return false;
   }
   // A failing endpoint is ranked first only if all endpoints are failing; then it is tried anyway.
   if (!endpoint->health.TryAcquire(now) && endpoint != m_ranked.front()) {
     return false;
   }
-  (void)endpoint->quota.TryTake(now);
+  endpoint->OnSent(now);
   m_last_endpoint = endpoint->record.name;
   m_current = Attempt{.number = step.attempt, .sent_at = now};
   m_current.connection = m_context.pool.Acquire(endpoint);
-  endpoint->load.OnSent();
   if (step.attempt > 1) {
     Log(kRetryDecided, {{"id", m_id},
                         {"attempt", step.attempt},
@@ -293,7 +292,8 @@
   return m_decision->attempts() < m_route->max_attempts &&
          m_context.RetryBudgetFor(m_service).Tokens() >= 1 &&
          std::any_of(m_ranked.begin(), m_ranked.end(), [this](const EndpointPtr& endpoint) {
-           return endpoint->usable && endpoint != m_current.connection->endpoint;
+           return endpoint->usable && endpoint != m_current.connection->endpoint &&
+                  endpoint->IsAvailable(m_context.clock.Now());
          });
 }
 
--- a/src/forward/forward_task_response.cc
+++ b/src/forward/forward_task_response.cc
@@ -1,4 +1,7 @@
+#include <algorithm>
+#include <chrono>
 #include <cstdio>
+#include <optional>
 #include <utility>
 
 #include "core/mutant.h"
@@ -16,9 +19,11 @@
 
 using namespace std::chrono_literals;
 
-// Retry-After for callers that were refused because endpoints are full: until some requests have
-// ended.
-constexpr std::chrono::milliseconds kRetryWhenFull = 200ms;
+// Retry-After for callers that were refused because no endpoint takes a request now: until some
+// requests have ended, or until the earliest time that is known. Another router, to which the retry
+// may come, has shares of other endpoints' limits, and was not asked to pause.
+constexpr std::chrono::milliseconds kMinRetryWhenFull = 200ms;
+constexpr std::chrono::milliseconds kMaxRetryWhenFull = 2'000ms;
 
 constexpr int kBadGateway = 502;
 constexpr int kGatewayTimeout = 504;
@@ -118,12 +123,27 @@
   Close(status, requests::ToText(step.outcome), step.reason);
 }
 
+std::chrono::milliseconds ForwardTask::RetryAfterWait(std::chrono::nanoseconds wait) {
+  return std::clamp(std::chrono::ceil<std::chrono::milliseconds>(wait), kMinRetryWhenFull,
+                    kMaxRetryWhenFull);
+}
+
+std::chrono::nanoseconds ForwardTask::EndpointWait() const {
+  const SteadyTime now = m_context.clock.Now();
+  std::optional<std::chrono::nanoseconds> shortest;
+  for (const EndpointPtr& endpoint : m_context.endpoints.Usable(m_service.value())) {
+    const std::chrono::nanoseconds wait = endpoint->WaitTime(now);
+    shortest = std::min(shortest.value_or(wait), wait);
+  }
+  return shortest.value_or(0ns);
+}
+
 void ForwardTask::FinishNotRun(FailureReason reason) {
   if (reason == FailureReason::kMalformedRequest) {
     Refuse(requests::HttpStatus(reason), reason);
     return;
   }
-  std::optional<std::chrono::milliseconds> retry_after = kRetryWhenFull;
+  std::optional<std::chrono::milliseconds> retry_after = RetryAfterWait(EndpointWait());
   if (reason == FailureReason::kDeadlineExceeded) {
     retry_after.reset();
   } else if (reason == FailureReason::kPromptQuarantined) {
--- a/src/forward/log_events.h
+++ b/src/forward/log_events.h
@@ -40,6 +40,8 @@
 inline constexpr LogEvent kRoutersChanged{2237, LogLevel::kInfo, "routers_changed"};
 inline constexpr LogEvent kLimitRecordIgnored{2238, LogLevel::kWarn, "limit_record_ignored"};
 inline constexpr LogEvent kEndpointLeaving{2239, LogLevel::kInfo, "endpoint_leaving"};
+inline constexpr LogEvent kEndpointPaused{2240, LogLevel::kInfo, "endpoint_paused"};
+inline constexpr LogEvent kPauseIgnored{2241, LogLevel::kWarn, "pause_ignored"};
 
 }  // namespace wagtailwind::forward
 
--- a/tests/unit/mutants_test.sh
+++ b/tests/unit/mutants_test.sh
@@ -16,6 +16,8 @@
   [forwarder_takes_requests_until_it_stops]=forward_stop/refuses_a_late_request_that_may_outlast_the_stop
   [forwarder_gives_up_silent_attempts]=forward_silence/keeps_a_paused_stream_when_the_other_endpoint_is_full
   [forwarder_ignores_announced_leaving]=forward_leaving/is_read_from_each_kind_of_answer
+  [forwarder_ignores_pauses]=forward_refusal_pause/is_kept
+  [forwarder_shortens_pauses]=refusal_pause/is_not_shortened_by_a_later_refusal
   [forwarder_closes_new_connections]=forward_stop/answers_the_first_request_of_a_new_connection
 )
 passed=0
