--- a/tests/unit/forward_leaving_test.cc
+++ b/tests/unit/forward_leaving_test.cc
@@ -104,6 +104,35 @@
   cr_assert_eq(fleet.leaver.requests, 1);
 }
 
+// Guards against continuing a stream at endpoints that leave, or that want no requests for a time:
+// they have said so since the stream began.
+Test(forward_leaving, gets_no_continued_stream) {
+  for (const std::string fields : {std::string(kLeaving), std::string("Retry-After: 5\r\n")}) {
+    auto route = TestRoute(RequestKind::kStream, 3);
+    route.resumable = true;
+    Connection* running = nullptr;
+    testing::TwoEndpoints fleet(
+        route,
+        [&running](Connection& connection) {
+          running = &connection;
+          connection.Write(testing::StreamHead(connection) + Event(1));
+        },
+        [&fields](Connection& connection) {
+          connection.Write(
+              HttpText(503, SignedHeaders(connection) + "Refused: 1\r\n" + fields, ""));
+        });
+    const auto answer = fleet.Send();
+    cr_assert(fleet.RunUntil([&] { return answer->status == 200; }));
+    for (int i = 0; i < 5; ++i) {
+      cr_assert_eq(fleet.Call()->status, 503);
+    }
+    cr_assert_eq(fleet.arrivals, 3, "%d arrivals", fleet.arrivals);
+    running->Reset();
+    cr_assert(fleet.RunUntil([&] { return answer->broken; }));
+    cr_assert_eq(fleet.arrivals, 3, "%d arrivals", fleet.arrivals);
+  }
+}
+
 // Guards against requests that wait until their deadline, or that are sent for lack of another
 // endpoint, when all endpoints of a service leave.
 Test(forward_leaving, of_all_endpoints_refuses_requests_at_once) {
