Refuse messages with another transfer coding than chunked, once

Seen: two fields with chunked, gzip before chunked, and identity beside chunked were accepted. A reader that heeds another one of them finds the end of the body elsewhere, or takes an encoded body for a plain one. Change: Transfer-Encoding is absent, or stands once with the value chunked.

--- a/src/http1/message_parser.cc
+++ b/src/http1/message_parser.cc
@@ -24,6 +24,15 @@
   return !name.empty() && name.find_first_not_of(kTokenCharacters) == std::string_view::npos;
 }
 
+/// Whether the transfer coding can be read in one way only: none, or `chunked` once.
+bool IsValidTransferEncoding(const std::vector<http::Header>& headers) {
+  int count = 0;
+  return std::all_of(headers.begin(), headers.end(), [&count](const http::Header& header) {
+    return !http::SameName(header.name, "Transfer-Encoding") ||
+           (++count == 1 && http::SameName(header.value, "chunked"));
+  });
+}
+
 }  // namespace
 
 MessageParser::MessageParser(Kind kind, MessageHandler& handler, std::size_t max_head_bytes)
@@ -91,11 +100,11 @@
 }
 
 int MessageParser::FinishHead() {
-  const bool is_valid =
-      std::all_of(m_head.headers.begin(), m_head.headers.end(), [](const http::Header& header) {
-        return IsValidHeaderName(header.name) && IsValidHeaderValue(header.value);
-      });
-  if (!is_valid) {
+  const auto is_valid_field = [](const http::Header& header) {
+    return IsValidHeaderName(header.name) && IsValidHeaderValue(header.value);
+  };
+  if (!std::all_of(m_head.headers.begin(), m_head.headers.end(), is_valid_field) ||
+      !IsValidTransferEncoding(m_head.headers)) {
     return kStopParsing;
   }
   m_head_complete = true;
--- a/tests/unit/http1_message_parser_test.cc
+++ b/tests/unit/http1_message_parser_test.cc
@@ -64,6 +64,22 @@
   }
 }
 
+// Guards against a body whose end another reader finds elsewhere, because it knows another transfer
+// coding or heeds another one of two fields.
+Test(message_parser, refuses_transfer_codings_but_chunked_once) {
+  const auto with = [](const std::string& fields) {
+    return ParseRequest("POST / HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n0\r\n\r\n");
+  };
+  cr_assert_eq(with("Transfer-Encoding: Chunked\r\n"), MessageParser::State::kMessageComplete);
+  for (const char* fields :
+       {"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked, chunked\r\n", "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: xchunked\r\n"}) {
+    cr_expect_eq(with(fields), MessageParser::State::kMalformed, "%s", fields);
+  }
+}
+
 // Guards against a caller that exhausts memory with an endless head.
 Test(message_parser, stops_at_the_limit_of_the_head) {
   const std::string head = "GET / HTTP/1.1\r\nLong: " + std::string(5000, 'x');
