End the answer to a HEAD request with its head

Seen: a HEAD request that an endpoint answers with an event stream got the last chunk ("0", blank line) behind the head, which the caller would take for the beginning of its next answer; one without length and chunks got 502, as if it had broken off. Change: no chunk is written for a HEAD request, and its stream has no events that could be missing. Evidence: forward_path/ends_the_answer_to_a_head_request_with_its_head failed before in all three cases, and passes now.

--- a/src/forward/caller_session.cc
+++ b/src/forward/caller_session.cc
@@ -260,7 +260,9 @@
 }
 
 void CallerSession::EndStream() {
-  m_stream.Write("0\r\n\r\n");
+  if (!m_is_head_request) {
+    m_stream.Write("0\r\n\r\n");
+  }
   ResponseDone();
 }
 
--- a/src/forward/forward_task_answer.cc
+++ b/src/forward/forward_task_answer.cc
@@ -406,7 +406,7 @@
 }
 
 bool ForwardTask::IsBrokenStream() const noexcept {
-  if (m_current.kind != AnswerKind::kEvents) {
+  if (m_current.kind != AnswerKind::kEvents || m_request.head.method == "HEAD") {
     return false;
   }
   const bool has_end = m_current.answer_head.chunked || m_current.answer_head.content_length;
--- a/tests/unit/forward_path_test.cc
+++ b/tests/unit/forward_path_test.cc
@@ -2,6 +2,7 @@
 
 #include "http/message.h"
 #include "support/forwarder_fixture.h"
+#include "support/raw_connection.h"
 
 // Included last because its macros break the headers of Abseil.
 #include <criterion/criterion.h>
@@ -404,3 +405,24 @@
   cr_assert_eq(fleet.Call("", large, "POST")->status, 413);
   cr_assert_eq(fleet.endpoint.requests, 0);
 }
+
+// Guards against bytes of no answer behind the head with which a HEAD request ends: the caller
+// would take them for the beginning of its next answer.
+Test(forward_path, ends_the_answer_to_a_head_request_with_its_head) {
+  for (const char* framing : {"Transfer-Encoding: chunked\r\n", "Content-Length: 20\r\n", ""}) {
+    SingleEndpoint fleet(TestRoute(RequestKind::kStream), [framing](Connection& connection) {
+      connection.Write("HTTP/1.1 200 OK\r\n" + SignedHeaders(connection) +
+                       "Content-Type: text/event-stream\r\n" + framing + "\r\n");
+      if (*framing == '\0') {
+        connection.Close();
+      }
+    });
+    testing::RawConnection caller(fleet.forwarder->CallerAddress());
+    caller.Write(testing::RequestText("Connection: close\r\n", "", "HEAD"));
+    fleet.loop.RunFor(200ms);
+    const std::string received = caller.ReadToEnd();
+    cr_expect(received.starts_with("HTTP/1.1 200 "), "%s: %s", framing, received.c_str());
+    cr_expect_eq(received.find("\r\n\r\n") + 4, received.size(), "%s: %s", framing,
+                 received.c_str());
+  }
+}
