--- a/src/forward/forward_task_answer.cc
+++ b/src/forward/forward_task_answer.cc
@@ -46,31 +46,16 @@
 constexpr std::string_view kUnusableAnswer =
     "response is unsigned, encoded, or no continuation of the stream";
 
-// Routers that were refused together return at different times: each adds up to a tenth of the
-// pause that the endpoint has named, but at most this time.
-constexpr int kPauseSpreadDivisor = 10;
-constexpr std::chrono::milliseconds kMaxPauseSpread = 500ms;
-
-// Longer values of malformed fields are cut off in log lines.
-constexpr std::size_t kMaxLoggedValue = 64;
-
-// Value of the field by which an endpoint announces that it leaves.
-constexpr std::string_view kLeaving = "1";
-
 // A full endpoint gets no new request for about the duration of a short request.
 constexpr std::chrono::milliseconds kFullBackoff = 100ms;
 
-constexpr int kOkFirst = 200;
-constexpr int kOkLast = 299;
-constexpr int kMisdirected = 421;
 constexpr int kRequestTimeout = 408;
-constexpr int kTooManyRequests = 429;
 constexpr int kServerErrorFirst = 500;
 
 /// Returns whether a status tells the caller that its request has not run.
 bool ImpliesNotRun(int status) noexcept {
-  return status == kRequestTimeout || status == kMisdirected || status == kTooManyRequests ||
-         status == detail::kStatusUnavailable;
+  return status == kRequestTimeout || status == detail::kStatusMisdirected ||
+         status == detail::kStatusTooManyRequests || status == detail::kStatusUnavailable;
 }
 
 }  // namespace
@@ -97,103 +82,6 @@
   }
 }
 
-ForwardTask::AnswerKind ForwardTask::Classify(const http1::MessageHead& head) const {
-  const WireNames& names = m_context.names;
-  if (head.status == kMisdirected) {
-    return AnswerKind::kOtherProcess;
-  }
-  if (!http::FindHeader(head.headers, names.not_run).empty()) {
-    return AnswerKind::kRefusal;
-  }
-  if (head.status < kOkFirst || head.status > kOkLast) {
-    return AnswerKind::kFailure;
-  }
-  if (http::FindHeader(head.headers, names.signature).empty() ||
-      !http::FindHeader(head.headers, "Content-Encoding").empty()) {
-    return AnswerKind::kInvalid;
-  }
-  return http::FindHeader(head.headers, "Content-Type").starts_with("text/event-stream")
-             ? AnswerKind::kEvents
-             : AnswerKind::kBuffered;
-}
-
-void ForwardTask::RecordLoadReport(const http1::MessageHead& head) {
-  const auto report = ParseLoad(http::FindHeader(head.headers, m_context.names.load));
-  if (report) {
-    m_current.connection->endpoint->load.OnReport(*report, m_context.clock.Now());
-  }
-}
-
-bool ForwardTask::IsEndpointsOwn(const http1::MessageHead& head) const {
-  const WireNames& names = m_context.names;
-  return head.status != kMisdirected && (!http::FindHeader(head.headers, names.signature).empty() ||
-                                         !http::FindHeader(head.headers, names.not_run).empty());
-}
-
-void ForwardTask::RecordRequestLimit(const http1::MessageHead& head) {
-  // Bytes of another process, or none that the endpoint meant, say nothing of its limit.
-  if (IsEndpointsOwn(head)) {
-    m_context.on_request_limit(
-        m_current.connection->endpoint,
-        ParseRequestLimit(http::FindHeader(head.headers, m_context.names.request_limit)));
-  }
-}
-
-void ForwardTask::RecordPause(const http1::MessageHead& head) {
-  const bool is_refusal =
-      (head.status == detail::kStatusUnavailable || head.status == kTooManyRequests) &&
-      IsEndpointsOwn(head);
-  if (!is_refusal) {
-    return;
-  }
-  const EndpointPtr& endpoint = m_current.connection->endpoint;
-  std::optional<std::chrono::nanoseconds> longest;
-  for (const http::Header& header : head.headers) {
-    if (!http::SameName(header.name, "Retry-After")) {
-      continue;
-    }
-    const auto time = ParsePauseTime(header.value);
-    if (time) {
-      longest = std::max(longest.value_or(0ns), *time);
-    } else {
-      Log(kPauseIgnored, {{"id", m_id},
-                          {"endpoint", endpoint->record.name.value()},
-                          {"value", std::string_view(header.value).substr(0, kMaxLoggedValue)}});
-    }
-  }
-  if (!longest || *longest == 0ns) {
-    return;
-  }
-  const SteadyTime now = m_context.clock.Now();
-  const auto spread =
-      std::min<std::chrono::nanoseconds>(*longest / kPauseSpreadDivisor, kMaxPauseSpread);
-  endpoint->pause.Extend(
-      *longest + std::chrono::nanoseconds(static_cast<std::int64_t>(
-                     m_context.random.NextFraction() * static_cast<double>(spread.count()))),
-      endpoint->record.slots / static_cast<double>(m_context.OtherRouters() + 1), now);
-  Log(kEndpointPaused, {{"id", m_id},
-                        {"endpoint", endpoint->record.name.value()},
-                        {"asked_ms", detail::ToMilliseconds(*longest)},
-                        {"left_ms", detail::ToMilliseconds(endpoint->pause.WaitTime(now))}});
-  m_context.metrics.GetCounter("forward_endpoint_pauses_total").Add();
-}
-
-void ForwardTask::RecordLeaving(const http1::MessageHead& head) {
-  const EndpointPtr& endpoint = m_current.connection->endpoint;
-  if (http::FindHeader(head.headers, m_context.names.leaving) != kLeaving ||
-      IsMutantEnabled("forwarder_ignores_announced_leaving") ||
-      !m_context.endpoints.OnLeaving(*endpoint)) {
-    return;
-  }
-  Log(kEndpointLeaving, {{"endpoint", endpoint->record.name.value()},
-                         {"service", endpoint->record.service.value()},
-                         {"incarnation", endpoint->record.incarnation},
-                         {"id", m_id},
-                         {"status", head.status}});
-  m_context.metrics.GetCounter("forward_endpoints_leaving_total").Add();
-  m_context.pool.CloseIdle(*endpoint);
-}
-
 bool ForwardTask::OnResponseHead(http1::MessageHead head) {
   m_current.connection->endpoint->health.OnBytesReceived(m_context.clock.Now());
   const std::string_view id = http::FindHeader(head.headers, m_context.names.attempt_id);
--- a/src/forward/task_common.h
+++ b/src/forward/task_common.h
@@ -8,6 +8,8 @@
 namespace wagtailwind::forward::detail {
 
 inline constexpr int kStatusBadRequest = 400;
+inline constexpr int kStatusMisdirected = 421;
+inline constexpr int kStatusTooManyRequests = 429;
 inline constexpr int kStatusUnavailable = 503;
 
 [[nodiscard]] inline std::int64_t ToMilliseconds(std::chrono::nanoseconds time) {
