--- a/tests/unit/forward_leaving_test.cc
+++ b/tests/unit/forward_leaving_test.cc
@@ -107,7 +107,7 @@
 // Guards against continuing a stream at endpoints that leave, or that want no requests for a time:
 // they have said so since the stream began.
 Test(forward_leaving, gets_no_continued_stream) {
-  for (const std::string fields : {std::string(kLeaving), std::string("Retry-After: 5\r\n")}) {
+  for (const std::string& fields : {std::string(kLeaving), std::string("Retry-After: 5\r\n")}) {
     auto route = TestRoute(RequestKind::kStream, 3);
     route.resumable = true;
     Connection* running = nullptr;
