--- a/src/forward/endpoint.h
+++ b/src/balancing/endpoint.h
@@ -1,5 +1,5 @@
-#ifndef WAGTAILWIND_FORWARD_ENDPOINT_H_
-#define WAGTAILWIND_FORWARD_ENDPOINT_H_
+#ifndef WAGTAILWIND_BALANCING_ENDPOINT_H_
+#define WAGTAILWIND_BALANCING_ENDPOINT_H_
 
 #include <algorithm>
 #include <chrono>
@@ -8,15 +8,15 @@
 #include <string>
 #include <vector>
 
+#include "balancing/endpoint_health.h"
+#include "balancing/event_pace.h"
+#include "balancing/load_estimate.h"
+#include "balancing/refusal_pause.h"
+#include "balancing/request_limit.h"
 #include "core/clock.h"
 #include "core/ids.h"
-#include "forward/endpoint_health.h"
-#include "forward/event_pace.h"
-#include "forward/load_estimate.h"
-#include "forward/refusal_pause.h"
-#include "forward/request_limit.h"
 
-namespace wagtailwind::forward {
+namespace wagtailwind::balancing {
 
 /// \brief The entry that an endpoint writes for itself in the list of endpoints.
 struct EndpointRecord {
@@ -76,6 +76,6 @@
 
 using EndpointPtr = std::shared_ptr<Endpoint>;
 
-}  // namespace wagtailwind::forward
+}  // namespace wagtailwind::balancing
 
-#endif  // WAGTAILWIND_FORWARD_ENDPOINT_H_
+#endif  // WAGTAILWIND_BALANCING_ENDPOINT_H_
--- a/src/forward/endpoint_health.cc
+++ b/src/balancing/endpoint_health.cc
@@ -1,9 +1,9 @@
-#include "forward/endpoint_health.h"
+#include "balancing/endpoint_health.h"
 
 #include <chrono>
 #include <cmath>
 
-namespace wagtailwind::forward {
+namespace wagtailwind::balancing {
 
 namespace {
 
@@ -106,4 +106,4 @@
   return m_failures * factor / (m_total * factor + kPriorRequests);
 }
 
-}  // namespace wagtailwind::forward
+}  // namespace wagtailwind::balancing
--- a/src/forward/endpoint_health.h
+++ b/src/balancing/endpoint_health.h
@@ -1,5 +1,5 @@
-#ifndef WAGTAILWIND_FORWARD_ENDPOINT_HEALTH_H_
-#define WAGTAILWIND_FORWARD_ENDPOINT_HEALTH_H_
+#ifndef WAGTAILWIND_BALANCING_ENDPOINT_HEALTH_H_
+#define WAGTAILWIND_BALANCING_ENDPOINT_HEALTH_H_
 
 #include <cstdint>
 #include <optional>
@@ -7,7 +7,7 @@
 #include "core/clock.h"
 #include "requests/circuit_breaker.h"
 
-namespace wagtailwind::forward {
+namespace wagtailwind::balancing {
 
 /// \brief How an attempt to run a request at an endpoint failed.
 enum class AttemptFailure : std::uint8_t {
@@ -76,6 +76,6 @@
   SteadyTime m_unreachable_until{};
 };
 
-}  // namespace wagtailwind::forward
+}  // namespace wagtailwind::balancing
 
-#endif  // WAGTAILWIND_FORWARD_ENDPOINT_HEALTH_H_
+#endif  // WAGTAILWIND_BALANCING_ENDPOINT_HEALTH_H_
--- a/src/forward/endpoint_ranking.cc
+++ b/src/balancing/endpoint_ranking.cc
@@ -1,11 +1,11 @@
-#include "forward/endpoint_ranking.h"
+#include "balancing/endpoint_ranking.h"
 
 #include <algorithm>
 #include <chrono>
 
 #include "core/hash.h"
 
-namespace wagtailwind::forward {
+namespace wagtailwind::balancing {
 
 namespace {
 
@@ -336,4 +336,4 @@
   return ranking;
 }
 
-}  // namespace wagtailwind::forward
+}  // namespace wagtailwind::balancing
--- a/src/forward/endpoint_ranking.h
+++ b/src/balancing/endpoint_ranking.h
@@ -1,5 +1,5 @@
-#ifndef WAGTAILWIND_FORWARD_ENDPOINT_RANKING_H_
-#define WAGTAILWIND_FORWARD_ENDPOINT_RANKING_H_
+#ifndef WAGTAILWIND_BALANCING_ENDPOINT_RANKING_H_
+#define WAGTAILWIND_BALANCING_ENDPOINT_RANKING_H_
 
 #include <chrono>
 #include <cstddef>
@@ -8,13 +8,13 @@
 #include <span>
 #include <vector>
 
+#include "balancing/endpoint.h"
+#include "balancing/load_estimate.h"
+#include "balancing/prompt.h"
 #include "core/clock.h"
 #include "core/random_source.h"
-#include "forward/endpoint.h"
-#include "forward/load_estimate.h"
-#include "forward/prompt.h"
 
-namespace wagtailwind::forward {
+namespace wagtailwind::balancing {
 
 /// \brief Properties of a request that determine the order of endpoints.
 struct RankingRequest {
@@ -72,6 +72,6 @@
                                     const RankingRequest& request, SteadyTime now,
                                     RandomSource& random, std::size_t limit);
 
-}  // namespace wagtailwind::forward
+}  // namespace wagtailwind::balancing
 
-#endif  // WAGTAILWIND_FORWARD_ENDPOINT_RANKING_H_
+#endif  // WAGTAILWIND_BALANCING_ENDPOINT_RANKING_H_
--- a/src/forward/endpoint_registry.cc
+++ b/src/balancing/endpoint_registry.cc
@@ -1,4 +1,4 @@
-#include "forward/endpoint_registry.h"
+#include "balancing/endpoint_registry.h"
 
 #include <algorithm>
 #include <set>
@@ -6,7 +6,7 @@
 
 #include "core/mutant.h"
 
-namespace wagtailwind::forward {
+namespace wagtailwind::balancing {
 
 namespace {
 
@@ -219,4 +219,4 @@
   }
 }
 
-}  // namespace wagtailwind::forward
+}  // namespace wagtailwind::balancing
--- a/src/forward/endpoint_registry.h
+++ b/src/balancing/endpoint_registry.h
@@ -1,5 +1,5 @@
-#ifndef WAGTAILWIND_FORWARD_ENDPOINT_REGISTRY_H_
-#define WAGTAILWIND_FORWARD_ENDPOINT_REGISTRY_H_
+#ifndef WAGTAILWIND_BALANCING_ENDPOINT_REGISTRY_H_
+#define WAGTAILWIND_BALANCING_ENDPOINT_REGISTRY_H_
 
 #include <chrono>
 #include <deque>
@@ -11,10 +11,10 @@
 #include <string_view>
 #include <vector>
 
+#include "balancing/endpoint.h"
 #include "core/clock.h"
-#include "forward/endpoint.h"
 
-namespace wagtailwind::forward {
+namespace wagtailwind::balancing {
 
 /// \brief The endpoints that are listed in the key-value service. An endpoint whose entry is
 /// deleted is no longer used, except around an outage of the service: live endpoints write entries
@@ -105,6 +105,6 @@
   bool m_has_missing = false;
 };
 
-}  // namespace wagtailwind::forward
+}  // namespace wagtailwind::balancing
 
-#endif  // WAGTAILWIND_FORWARD_ENDPOINT_REGISTRY_H_
+#endif  // WAGTAILWIND_BALANCING_ENDPOINT_REGISTRY_H_
--- a/src/forward/event_pace.cc
+++ b/src/balancing/event_pace.cc
@@ -1,8 +1,8 @@
-#include "forward/event_pace.h"
+#include "balancing/event_pace.h"
 
 #include <cmath>
 
-namespace wagtailwind::forward {
+namespace wagtailwind::balancing {
 
 namespace {
 
@@ -34,4 +34,4 @@
   return std::chrono::duration<double>(m_seconds / m_gaps);
 }
 
-}  // namespace wagtailwind::forward
+}  // namespace wagtailwind::balancing
--- a/src/forward/event_pace.h
+++ b/src/balancing/event_pace.h
@@ -1,12 +1,12 @@
-#ifndef WAGTAILWIND_FORWARD_EVENT_PACE_H_
-#define WAGTAILWIND_FORWARD_EVENT_PACE_H_
+#ifndef WAGTAILWIND_BALANCING_EVENT_PACE_H_
+#define WAGTAILWIND_BALANCING_EVENT_PACE_H_
 
 #include <chrono>
 #include <optional>
 
 #include "core/clock.h"
 
-namespace wagtailwind::forward {
+namespace wagtailwind::balancing {
 
 /// \brief Decaying mean of the time between events on the streams of an endpoint, over the last
 /// seconds.
@@ -27,6 +27,6 @@
   SteadyTime m_updated{};
 };
 
-}  // namespace wagtailwind::forward
+}  // namespace wagtailwind::balancing
 
-#endif  // WAGTAILWIND_FORWARD_EVENT_PACE_H_
+#endif  // WAGTAILWIND_BALANCING_EVENT_PACE_H_
--- a/src/forward/load_estimate.cc
+++ b/src/balancing/load_estimate.cc
@@ -1,4 +1,4 @@
-#include "forward/load_estimate.h"
+#include "balancing/load_estimate.h"
 
 #include <algorithm>
 #include <chrono>
@@ -6,7 +6,7 @@
 
 #include "core/mutant.h"
 
-namespace wagtailwind::forward {
+namespace wagtailwind::balancing {
 
 namespace {
 
@@ -96,4 +96,4 @@
   return m_own + expected + (others - expected) * std::exp(-age / kDecayTime);
 }
 
-}  // namespace wagtailwind::forward
+}  // namespace wagtailwind::balancing
--- a/src/forward/load_estimate.h
+++ b/src/balancing/load_estimate.h
@@ -1,5 +1,5 @@
-#ifndef WAGTAILWIND_FORWARD_LOAD_ESTIMATE_H_
-#define WAGTAILWIND_FORWARD_LOAD_ESTIMATE_H_
+#ifndef WAGTAILWIND_BALANCING_LOAD_ESTIMATE_H_
+#define WAGTAILWIND_BALANCING_LOAD_ESTIMATE_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -9,7 +9,7 @@
 
 #include "core/clock.h"
 
-namespace wagtailwind::forward {
+namespace wagtailwind::balancing {
 
 /// \brief Load that an endpoint reports with a response.
 struct LoadReport {
@@ -96,6 +96,6 @@
   double m_average_at_report = 0;
 };
 
-}  // namespace wagtailwind::forward
+}  // namespace wagtailwind::balancing
 
-#endif  // WAGTAILWIND_FORWARD_LOAD_ESTIMATE_H_
+#endif  // WAGTAILWIND_BALANCING_LOAD_ESTIMATE_H_
--- a/src/forward/prompt.cc
+++ b/src/balancing/prompt.cc
@@ -1,11 +1,11 @@
-#include "forward/prompt.h"
+#include "balancing/prompt.h"
 
 #include <algorithm>
 #include <charconv>
 
 #include "core/hash.h"
 
-namespace wagtailwind::forward {
+namespace wagtailwind::balancing {
 
 std::optional<SharedPrompt> ParsePrompt(std::string_view parts) {
   if (parts.empty()) {
@@ -54,4 +54,4 @@
   return text;
 }
 
-}  // namespace wagtailwind::forward
+}  // namespace wagtailwind::balancing
--- a/src/forward/prompt.h
+++ b/src/balancing/prompt.h
@@ -1,5 +1,5 @@
-#ifndef WAGTAILWIND_FORWARD_PROMPT_H_
-#define WAGTAILWIND_FORWARD_PROMPT_H_
+#ifndef WAGTAILWIND_BALANCING_PROMPT_H_
+#define WAGTAILWIND_BALANCING_PROMPT_H_
 
 #include <cstdint>
 #include <optional>
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-namespace wagtailwind::forward {
+namespace wagtailwind::balancing {
 
 /// \brief Identifies a part of a prompt that several requests have in common.
 enum class PromptPart : std::uint64_t {};
@@ -35,6 +35,6 @@
 /// \brief Returns the parts as hexadecimal numbers, separated by commas.
 [[nodiscard]] std::string ToText(std::span<const PromptPart> parts);
 
-}  // namespace wagtailwind::forward
+}  // namespace wagtailwind::balancing
 
-#endif  // WAGTAILWIND_FORWARD_PROMPT_H_
+#endif  // WAGTAILWIND_BALANCING_PROMPT_H_
--- a/src/forward/prompt_quarantine.cc
+++ b/src/balancing/prompt_quarantine.cc
@@ -1,4 +1,4 @@
-#include "forward/prompt_quarantine.h"
+#include "balancing/prompt_quarantine.h"
 
 #include <algorithm>
 #include <map>
@@ -8,7 +8,7 @@
 
 #include "core/mutant.h"
 
-namespace wagtailwind::forward {
+namespace wagtailwind::balancing {
 
 namespace {
 
@@ -263,4 +263,4 @@
   }
 }
 
-}  // namespace wagtailwind::forward
+}  // namespace wagtailwind::balancing
--- a/src/forward/prompt_quarantine.h
+++ b/src/balancing/prompt_quarantine.h
@@ -1,5 +1,5 @@
-#ifndef WAGTAILWIND_FORWARD_PROMPT_QUARANTINE_H_
-#define WAGTAILWIND_FORWARD_PROMPT_QUARANTINE_H_
+#ifndef WAGTAILWIND_BALANCING_PROMPT_QUARANTINE_H_
+#define WAGTAILWIND_BALANCING_PROMPT_QUARANTINE_H_
 
 #include <chrono>
 #include <cstddef>
@@ -10,11 +10,11 @@
 #include <unordered_set>
 #include <vector>
 
+#include "balancing/prompt.h"
 #include "core/clock.h"
 #include "core/ids.h"
-#include "forward/prompt.h"
 
-namespace wagtailwind::forward {
+namespace wagtailwind::balancing {
 
 /// \brief A prompt that waited for its first event when its endpoint crashed.
 struct SuspectPrompt {
@@ -109,6 +109,6 @@
   std::size_t m_began_limit = kMinBeganLimit;
 };
 
-}  // namespace wagtailwind::forward
+}  // namespace wagtailwind::balancing
 
-#endif  // WAGTAILWIND_FORWARD_PROMPT_QUARANTINE_H_
+#endif  // WAGTAILWIND_BALANCING_PROMPT_QUARANTINE_H_
--- a/src/forward/refusal_pause.cc
+++ b/src/balancing/refusal_pause.cc
@@ -1,4 +1,4 @@
-#include "forward/refusal_pause.h"
+#include "balancing/refusal_pause.h"
 
 #include <algorithm>
 #include <charconv>
@@ -6,7 +6,7 @@
 
 #include "core/mutant.h"
 
-namespace wagtailwind::forward {
+namespace wagtailwind::balancing {
 
 namespace {
 
@@ -75,4 +75,4 @@
   return std::min(rest, std::chrono::ceil<std::chrono::nanoseconds>(next));
 }
 
-}  // namespace wagtailwind::forward
+}  // namespace wagtailwind::balancing
--- a/src/forward/refusal_pause.h
+++ b/src/balancing/refusal_pause.h
@@ -1,5 +1,5 @@
-#ifndef WAGTAILWIND_FORWARD_REFUSAL_PAUSE_H_
-#define WAGTAILWIND_FORWARD_REFUSAL_PAUSE_H_
+#ifndef WAGTAILWIND_BALANCING_REFUSAL_PAUSE_H_
+#define WAGTAILWIND_BALANCING_REFUSAL_PAUSE_H_
 
 #include <chrono>
 #include <cstdint>
@@ -8,7 +8,7 @@
 
 #include "core/clock.h"
 
-namespace wagtailwind::forward {
+namespace wagtailwind::balancing {
 
 /// \brief Parses the time in seconds, with an optional fraction, for which an endpoint that has
 /// refused a request wants no further ones. Returns empty if the text is not such a number.
@@ -46,6 +46,6 @@
   std::uint32_t m_returned = 0;
 };
 
-}  // namespace wagtailwind::forward
+}  // namespace wagtailwind::balancing
 
-#endif  // WAGTAILWIND_FORWARD_REFUSAL_PAUSE_H_
+#endif  // WAGTAILWIND_BALANCING_REFUSAL_PAUSE_H_
--- a/src/forward/request_cost.cc
+++ b/src/balancing/request_cost.cc
@@ -1,9 +1,9 @@
-#include "forward/request_cost.h"
+#include "balancing/request_cost.h"
 
 #include <charconv>
 #include <cstdint>
 
-namespace wagtailwind::forward {
+namespace wagtailwind::balancing {
 
 namespace {
 
@@ -43,4 +43,4 @@
   return cost >= m_mean * (1 - kRoundingTolerance);
 }
 
-}  // namespace wagtailwind::forward
+}  // namespace wagtailwind::balancing
--- a/src/forward/request_cost.h
+++ b/src/balancing/request_cost.h
@@ -1,10 +1,10 @@
-#ifndef WAGTAILWIND_FORWARD_REQUEST_COST_H_
-#define WAGTAILWIND_FORWARD_REQUEST_COST_H_
+#ifndef WAGTAILWIND_BALANCING_REQUEST_COST_H_
+#define WAGTAILWIND_BALANCING_REQUEST_COST_H_
 
 #include <optional>
 #include <string_view>
 
-namespace wagtailwind::forward {
+namespace wagtailwind::balancing {
 
 /// \brief Returns the work of a request at an engine in units of one prompt token, from a text
 /// `prompt tokens,answer tokens`. Returns empty if the text is something else.
@@ -21,6 +21,6 @@
   bool m_has_mean = false;
 };
 
-}  // namespace wagtailwind::forward
+}  // namespace wagtailwind::balancing
 
-#endif  // WAGTAILWIND_FORWARD_REQUEST_COST_H_
+#endif  // WAGTAILWIND_BALANCING_REQUEST_COST_H_
--- a/src/forward/request_limit.cc
+++ b/src/balancing/request_limit.cc
@@ -1,4 +1,4 @@
-#include "forward/request_limit.h"
+#include "balancing/request_limit.h"
 
 #include <algorithm>
 #include <charconv>
@@ -9,7 +9,7 @@
 #include "core/hash.h"
 #include "core/mutant.h"
 
-namespace wagtailwind::forward {
+namespace wagtailwind::balancing {
 
 namespace {
 
@@ -139,4 +139,4 @@
       std::min<std::chrono::duration<double>>(wait, kLongestWait));
 }
 
-}  // namespace wagtailwind::forward
+}  // namespace wagtailwind::balancing
--- a/src/forward/request_limit.h
+++ b/src/balancing/request_limit.h
@@ -1,5 +1,5 @@
-#ifndef WAGTAILWIND_FORWARD_REQUEST_LIMIT_H_
-#define WAGTAILWIND_FORWARD_REQUEST_LIMIT_H_
+#ifndef WAGTAILWIND_BALANCING_REQUEST_LIMIT_H_
+#define WAGTAILWIND_BALANCING_REQUEST_LIMIT_H_
 
 #include <cstdint>
 #include <optional>
@@ -10,7 +10,7 @@
 #include "core/clock.h"
 #include "core/ids.h"
 
-namespace wagtailwind::forward {
+namespace wagtailwind::balancing {
 
 /// \brief Parses the number of requests a second that an endpoint takes from all routers together.
 /// Returns empty if the text is not a number of at least 0.
@@ -100,6 +100,6 @@
   SteadyTime m_updated_at{};
 };
 
-}  // namespace wagtailwind::forward
+}  // namespace wagtailwind::balancing
 
-#endif  // WAGTAILWIND_FORWARD_REQUEST_LIMIT_H_
+#endif  // WAGTAILWIND_BALANCING_REQUEST_LIMIT_H_
--- a/src/forward/traffic_share.cc
+++ b/src/balancing/traffic_share.cc
@@ -1,8 +1,8 @@
-#include "forward/traffic_share.h"
+#include "balancing/traffic_share.h"
 
 #include <algorithm>
 
-namespace wagtailwind::forward {
+namespace wagtailwind::balancing {
 
 namespace {
 
@@ -28,4 +28,4 @@
   return std::max(kMinRouters, (m_own + m_others) / m_own);
 }
 
-}  // namespace wagtailwind::forward
+}  // namespace wagtailwind::balancing
--- a/src/forward/traffic_share.h
+++ b/src/balancing/traffic_share.h
@@ -1,7 +1,7 @@
-#ifndef WAGTAILWIND_FORWARD_TRAFFIC_SHARE_H_
-#define WAGTAILWIND_FORWARD_TRAFFIC_SHARE_H_
+#ifndef WAGTAILWIND_BALANCING_TRAFFIC_SHARE_H_
+#define WAGTAILWIND_BALANCING_TRAFFIC_SHARE_H_
 
-namespace wagtailwind::forward {
+namespace wagtailwind::balancing {
 
 /// \brief Estimates the number of routers, assuming that they share the traffic evenly.
 ///
@@ -21,6 +21,6 @@
   double m_others = 0;
 };
 
-}  // namespace wagtailwind::forward
+}  // namespace wagtailwind::balancing
 
-#endif  // WAGTAILWIND_FORWARD_TRAFFIC_SHARE_H_
+#endif  // WAGTAILWIND_BALANCING_TRAFFIC_SHARE_H_
--- a/src/forward/connection_pool.cc
+++ b/src/forward/connection_pool.cc
@@ -44,7 +44,9 @@
 
   [[nodiscard]] EndpointConnection Detach() { return std::move(m_connection); }
   [[nodiscard]] BootTime expires_at() const noexcept { return m_expires_at; }
-  [[nodiscard]] const Endpoint* endpoint() const noexcept { return m_connection.endpoint.get(); }
+  [[nodiscard]] const balancing::Endpoint* endpoint() const noexcept {
+    return m_connection.endpoint.get();
+  }
 
  private:
   ConnectionPool& m_pool;
@@ -57,7 +59,7 @@
 
 ConnectionPool::~ConnectionPool() = default;
 
-EndpointConnection ConnectionPool::Acquire(const EndpointPtr& endpoint) {
+EndpointConnection ConnectionPool::Acquire(const balancing::EndpointPtr& endpoint) {
   const BootTime now = m_clock.BootNow();
   const auto found = m_idle.find(endpoint.get());
   while (found != m_idle.end() && !found->second.empty()) {
@@ -85,7 +87,7 @@
     Discard(std::move(connection));
     return;
   }
-  const Endpoint* endpoint = connection.endpoint.get();
+  const balancing::Endpoint* endpoint = connection.endpoint.get();
   m_idle[endpoint].push_back(std::make_unique<IdleConnection>(*this, std::move(connection),
                                                               m_clock.BootNow() + usable_for));
 }
@@ -97,7 +99,7 @@
   }
 }
 
-void ConnectionPool::CloseIdle(const Endpoint& endpoint) {
+void ConnectionPool::CloseIdle(const balancing::Endpoint& endpoint) {
   const auto found = m_idle.find(&endpoint);
   if (found == m_idle.end()) {
     return;
--- a/src/forward/connection_pool.h
+++ b/src/forward/connection_pool.h
@@ -8,8 +8,8 @@
 #include <optional>
 #include <vector>
 
+#include "balancing/endpoint.h"
 #include "core/clock.h"
-#include "forward/endpoint.h"
 #include "http1/client_connection.h"
 #include "net/event_loop.h"
 
@@ -17,7 +17,7 @@
 
 /// \brief A connection to an endpoint that is in use by one request.
 struct EndpointConnection {
-  EndpointPtr endpoint;
+  balancing::EndpointPtr endpoint;
   std::unique_ptr<http1::ClientConnection> connection;
   /// The connection has carried an earlier request, so the endpoint may have closed it since.
   bool reused = false;
@@ -32,7 +32,7 @@
   ConnectionPool& operator=(const ConnectionPool&) = delete;
 
   /// \brief Returns an idle connection whose keep-alive timeout has not run out, or a new one.
-  [[nodiscard]] EndpointConnection Acquire(const EndpointPtr& endpoint);
+  [[nodiscard]] EndpointConnection Acquire(const balancing::EndpointPtr& endpoint);
 
   /// \brief Returns a connection to the pool. `idle_limit` is the endpoint's keep-alive timeout, if
   /// announced.
@@ -42,7 +42,7 @@
   void Discard(EndpointConnection connection) noexcept;
 
   /// \brief Closes the idle connections to an endpoint.
-  void CloseIdle(const Endpoint& endpoint);
+  void CloseIdle(const balancing::Endpoint& endpoint);
 
   /// \brief Closes connections whose idle time has run out.
   void CloseExpired();
@@ -57,7 +57,7 @@
   net::EventLoop& m_loop;
   const Clock& m_clock;
   /// Idle connections by endpoint, the longest idle first.
-  std::map<const Endpoint*, std::list<std::unique_ptr<IdleConnection>>> m_idle;
+  std::map<const balancing::Endpoint*, std::list<std::unique_ptr<IdleConnection>>> m_idle;
 };
 
 }  // namespace wagtailwind::forward
--- a/src/forward/crash_detector.cc
+++ b/src/forward/crash_detector.cc
@@ -25,7 +25,7 @@
 /// \brief A connection attempt to an endpoint, and the prompts that it decides on.
 class CrashDetector::Probe final : private net::StreamHandler {
  public:
-  Probe(CrashDetector& detector, EndpointPtr probed)
+  Probe(CrashDetector& detector, balancing::EndpointPtr probed)
       : endpoint(std::move(probed)),
         m_detector(detector),
         m_stream(detector.m_loop, *this),
@@ -34,8 +34,8 @@
     m_stream.Connect(endpoint->record.address);
   }
 
-  const EndpointPtr endpoint;
-  std::vector<SuspectPrompt> prompts;
+  const balancing::EndpointPtr endpoint;
+  std::vector<balancing::SuspectPrompt> prompts;
 
  private:
   void OnConnected() override { m_detector.EndProbe(endpoint.get(), false); }
@@ -55,7 +55,8 @@
 
 CrashDetector::~CrashDetector() = default;
 
-void CrashDetector::OnConnectionLost(const EndpointPtr& endpoint, SuspectPrompt prompt) {
+void CrashDetector::OnConnectionLost(const balancing::EndpointPtr& endpoint,
+                                     balancing::SuspectPrompt prompt) {
   const auto found = m_probes.find(endpoint.get());
   if (found != m_probes.end()) {
     found->second->prompts.push_back(std::move(prompt));
@@ -66,7 +67,7 @@
   }
 }
 
-void CrashDetector::EndProbe(const Endpoint* endpoint, bool is_crashed) {
+void CrashDetector::EndProbe(const balancing::Endpoint* endpoint, bool is_crashed) {
   const auto found = m_probes.find(endpoint);
   const std::unique_ptr<Probe> probe = std::move(found->second);
   m_probes.erase(found);
--- a/src/forward/crash_detector.h
+++ b/src/forward/crash_detector.h
@@ -6,8 +6,8 @@
 #include <memory>
 #include <vector>
 
-#include "forward/endpoint.h"
-#include "forward/prompt_quarantine.h"
+#include "balancing/endpoint.h"
+#include "balancing/prompt_quarantine.h"
 #include "net/event_loop.h"
 
 namespace wagtailwind::forward {
@@ -18,8 +18,8 @@
  public:
   /// Receives a crashed endpoint and the prompts that waited for their first event there. May be
   /// called again for the same endpoint with further prompts.
-  using CrashHandler =
-      std::function<void(const EndpointPtr& endpoint, std::vector<SuspectPrompt> prompts)>;
+  using CrashHandler = std::function<void(const balancing::EndpointPtr& endpoint,
+                                          std::vector<balancing::SuspectPrompt> prompts)>;
 
   CrashDetector(net::EventLoop& loop, CrashHandler on_crash);
   ~CrashDetector();
@@ -27,16 +27,16 @@
   CrashDetector& operator=(const CrashDetector&) = delete;
 
   /// \brief The endpoint closed the connection of a request that waited for its first event.
-  void OnConnectionLost(const EndpointPtr& endpoint, SuspectPrompt prompt);
+  void OnConnectionLost(const balancing::EndpointPtr& endpoint, balancing::SuspectPrompt prompt);
 
  private:
   class Probe;
 
-  void EndProbe(const Endpoint* endpoint, bool is_crashed);
+  void EndProbe(const balancing::Endpoint* endpoint, bool is_crashed);
 
   net::EventLoop& m_loop;
   CrashHandler m_on_crash;
-  std::map<const Endpoint*, std::unique_ptr<Probe>> m_probes;
+  std::map<const balancing::Endpoint*, std::unique_ptr<Probe>> m_probes;
 };
 
 }  // namespace wagtailwind::forward
--- a/src/forward/crash_report.cc
+++ b/src/forward/crash_report.cc
@@ -20,15 +20,15 @@
 
 }  // namespace
 
-std::string CrashReportKey(const CrashReport& report, const InstanceName& router) {
+std::string CrashReportKey(const balancing::CrashReport& report, const InstanceName& router) {
   return report.endpoint.value() + "@" + std::to_string(report.incarnation) + "/" + router.value();
 }
 
-std::string EncodeCrashReport(const CrashReport& report) {
+std::string EncodeCrashReport(const balancing::CrashReport& report) {
   json prompts = json::array();
-  for (const SuspectPrompt& prompt : report.prompts) {
+  for (const balancing::SuspectPrompt& prompt : report.prompts) {
     json parts = json::array();
-    for (const PromptPart part : prompt.parts) {
+    for (const balancing::PromptPart part : prompt.parts) {
       parts.push_back(ToText(part));
     }
     prompts.push_back({{"request", prompt.request},
@@ -41,20 +41,20 @@
       .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-CrashReport DecodeCrashReport(std::string_view value) {
+balancing::CrashReport DecodeCrashReport(std::string_view value) {
   const json document = json_fields::ParseJson<MalformedCrashReport>(value);
-  CrashReport report;
+  balancing::CrashReport report;
   report.endpoint = EndpointName(kStringField(document, "endpoint"));
   report.incarnation = kUnsignedField(document, "incarnation");
   for (const json& object : kArrayField(document, "prompts")) {
-    SuspectPrompt& prompt = report.prompts.emplace_back();
+    balancing::SuspectPrompt& prompt = report.prompts.emplace_back();
     prompt.request = kStringField(object, "request");
     prompt.answering = json_fields::OptionalBool<MalformedCrashReport>(object, "answering");
     for (const json& part : kArrayField(object, "parts")) {
       if (!part.is_string()) {
         throw MalformedCrashReport("a part is not a string");
       }
-      prompt.parts.push_back(ParsePromptPart(part.get<std::string>()));
+      prompt.parts.push_back(balancing::ParsePromptPart(part.get<std::string>()));
     }
     if (prompt.parts.size() > kMaxReportedParts || report.prompts.size() > kMaxReportedPrompts) {
       throw MalformedCrashReport("too many prompts or parts");
--- a/src/forward/crash_report.h
+++ b/src/forward/crash_report.h
@@ -4,9 +4,9 @@
 #include <string>
 #include <string_view>
 
+#include "balancing/prompt_quarantine.h"
 #include "core/error.h"
 #include "core/ids.h"
-#include "forward/prompt_quarantine.h"
 
 namespace wagtailwind::forward {
 
@@ -20,13 +20,14 @@
 using MalformedCrashReport = wagtailwind::detail::NamedError<detail::MalformedCrashReportTag>;
 
 /// \brief Returns the key of a router's report on a crash, without the prefix of all reports.
-[[nodiscard]] std::string CrashReportKey(const CrashReport& report, const InstanceName& router);
+[[nodiscard]] std::string CrashReportKey(const balancing::CrashReport& report,
+                                         const InstanceName& router);
 
 /// \brief Encodes a report as the value of its key.
-[[nodiscard]] std::string EncodeCrashReport(const CrashReport& report);
+[[nodiscard]] std::string EncodeCrashReport(const balancing::CrashReport& report);
 
 /// \brief Decodes the value of a report. Throws MalformedCrashReport.
-[[nodiscard]] CrashReport DecodeCrashReport(std::string_view value);
+[[nodiscard]] balancing::CrashReport DecodeCrashReport(std::string_view value);
 
 }  // namespace wagtailwind::forward
 
--- a/src/forward/crash_reports.cc
+++ b/src/forward/crash_reports.cc
@@ -37,19 +37,21 @@
 
 CrashReports::~CrashReports() = default;
 
-void CrashReports::OnCrash(const EndpointPtr& endpoint, std::vector<SuspectPrompt> prompts) {
+void CrashReports::OnCrash(const balancing::EndpointPtr& endpoint,
+                           std::vector<balancing::SuspectPrompt> prompts) {
   const SteadyTime now = m_context.clock.Now();
-  endpoint->health.OnFailure(AttemptFailure::kNotConnected, now);
+  endpoint->health.OnFailure(balancing::AttemptFailure::kNotConnected, now);
   m_context.metrics.GetCounter("forward_crashed_prompts_total").Add(prompts.size());
   const std::size_t lost = prompts.size();
-  CrashReport report{.endpoint = endpoint->record.name,
-                     .incarnation = endpoint->record.incarnation,
-                     .prompts = m_context.quarantine.FindSuspects(std::move(prompts), now)};
+  balancing::CrashReport report{
+      .endpoint = endpoint->record.name,
+      .incarnation = endpoint->record.incarnation,
+      .prompts = m_context.quarantine.FindSuspects(std::move(prompts), now)};
   Log(kEndpointCrashed, {{"endpoint", report.endpoint.value()},
                          {"incarnation", report.incarnation},
                          {"lost", lost},
                          {"suspects", report.prompts.size()},
-                         {"answering", AnyAnswering(report.prompts) ? 1 : 0}});
+                         {"answering", balancing::AnyAnswering(report.prompts) ? 1 : 0}});
   if (report.prompts.empty()) {
     return;
   }
@@ -58,7 +60,7 @@
   Schedule(report);
 }
 
-void CrashReports::Schedule(const CrashReport& report) {
+void CrashReports::Schedule(const balancing::CrashReport& report) {
   const auto known =
       std::find_if(m_pending.begin(), m_pending.end(), [&report](const Pending& pending) {
         return pending.report.endpoint == report.endpoint &&
@@ -73,7 +75,7 @@
     auto& prompts = pending->report.prompts;
     prompts.insert(prompts.end(), report.prompts.begin(), report.prompts.end());
   }
-  if (AnyAnswering(report.prompts)) {
+  if (balancing::AnyAnswering(report.prompts)) {
     pending->timer->Start(kCollectTime);
   } else if (known == m_pending.end()) {
     constexpr auto kSpread =
@@ -84,10 +86,11 @@
 }
 
 void CrashReports::Publish(std::list<Pending>::iterator pending) {
-  CrashReport report = std::move(pending->report);
+  balancing::CrashReport report = std::move(pending->report);
   m_pending.erase(pending);
-  if (AnyAnswering(report.prompts)) {
-    std::erase_if(report.prompts, [](const SuspectPrompt& prompt) { return !prompt.answering; });
+  if (balancing::AnyAnswering(report.prompts)) {
+    std::erase_if(report.prompts,
+                  [](const balancing::SuspectPrompt& prompt) { return !prompt.answering; });
   } else if (m_context.quarantine.HasAnsweringSuspect(report)) {
     return;
   }
@@ -110,13 +113,15 @@
 }
 
 void CrashReports::LogChanges() {
-  const std::vector<QuarantinedParts>& current = m_context.quarantine.Quarantined();
-  const auto log_missing = [](const std::vector<QuarantinedParts>& from,
-                              const std::vector<QuarantinedParts>& in, const LogEvent& event) {
-    for (const QuarantinedParts& entry : from) {
-      const bool is_known = std::any_of(
-          in.begin(), in.end(),
-          [&entry](const QuarantinedParts& other) { return other.parts == entry.parts; });
+  const std::vector<balancing::QuarantinedParts>& current = m_context.quarantine.Quarantined();
+  const auto log_missing = [](const std::vector<balancing::QuarantinedParts>& from,
+                              const std::vector<balancing::QuarantinedParts>& in,
+                              const LogEvent& event) {
+    for (const balancing::QuarantinedParts& entry : from) {
+      const bool is_known =
+          std::any_of(in.begin(), in.end(), [&entry](const balancing::QuarantinedParts& other) {
+            return other.parts == entry.parts;
+          });
       if (!is_known) {
         Log(event, {{"parts", ToText(entry.parts)}, {"crashes", entry.crashes}});
       }
--- a/src/forward/crash_reports.h
+++ b/src/forward/crash_reports.h
@@ -25,7 +25,8 @@
 
   /// \brief An endpoint has crashed while these prompts of this router waited for their first
   /// events.
-  void OnCrash(const EndpointPtr& endpoint, std::vector<SuspectPrompt> prompts);
+  void OnCrash(const balancing::EndpointPtr& endpoint,
+               std::vector<balancing::SuspectPrompt> prompts);
 
   void OnSnapshot(const std::vector<platform::KeyValueItem>& items, BootTime valid_as_of) override;
   void OnChanges(const std::vector<platform::KeyValueItem>& changes, BootTime valid_as_of) override;
@@ -37,13 +38,13 @@
  private:
   /// A report that is written once its time has come.
   struct Pending {
-    CrashReport report;
+    balancing::CrashReport report;
     std::unique_ptr<net::Timer> timer;
   };
 
   /// Logs which quarantines have begun and ended since the last call.
   void LogChanges();
-  void Schedule(const CrashReport& report);
+  void Schedule(const balancing::CrashReport& report);
   void Publish(std::list<Pending>::iterator pending);
   [[nodiscard]] bool TakePermit();
 
@@ -52,7 +53,7 @@
   RecordWriter& m_writer;
   std::list<Pending> m_pending;
   /// The quarantines that have been logged.
-  std::vector<QuarantinedParts> m_logged;
+  std::vector<balancing::QuarantinedParts> m_logged;
   /// Number of reports that may be written now, as of m_permits_at.
   double m_permits;
   SteadyTime m_permits_at{};
--- a/src/forward/deployment_adapter.h
+++ b/src/forward/deployment_adapter.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <string_view>
 
+#include "balancing/endpoint.h"
 #include "core/error.h"
-#include "forward/endpoint.h"
 #include "forward/routing.h"
 #include "forward/wire_names.h"
 #include "platform/key_value_codec.h"
@@ -52,8 +52,8 @@
       std::string_view value) const = 0;
 
   /// \brief Decodes the entry of the endpoint `name`. Throws MalformedEndpointEntry.
-  [[nodiscard]] virtual EndpointRecord DecodeEndpoint(std::string_view name,
-                                                      std::string_view value) const = 0;
+  [[nodiscard]] virtual balancing::EndpointRecord DecodeEndpoint(std::string_view name,
+                                                                 std::string_view value) const = 0;
 };
 
 }  // namespace wagtailwind::forward
--- a/src/forward/endpoint_follower.cc
+++ b/src/forward/endpoint_follower.cc
@@ -13,7 +13,8 @@
   return std::string_view(item.key).substr(m_adapter.EndpointPrefix().size());
 }
 
-std::optional<EndpointRecord> EndpointFollower::Decode(const platform::KeyValueItem& item) const {
+std::optional<balancing::EndpointRecord> EndpointFollower::Decode(
+    const platform::KeyValueItem& item) const {
   try {
     return m_adapter.DecodeEndpoint(NameOf(item), item.value);
   } catch (const MalformedEndpointEntry& error) {
@@ -25,7 +26,7 @@
 
 void EndpointFollower::OnSnapshot(const std::vector<platform::KeyValueItem>& items,
                                   BootTime /*valid_as_of*/) {
-  std::vector<EndpointRecord> records;
+  std::vector<balancing::EndpointRecord> records;
   records.reserve(items.size());
   for (const platform::KeyValueItem& item : items) {
     if (auto record = Decode(item)) {
@@ -41,7 +42,8 @@
                                  BootTime /*valid_as_of*/) {
   for (const platform::KeyValueItem& change : changes) {
     const std::string_view name = NameOf(change);
-    const std::optional<EndpointRecord> record = change.deleted ? std::nullopt : Decode(change);
+    const std::optional<balancing::EndpointRecord> record =
+        change.deleted ? std::nullopt : Decode(change);
     if (record) {
       m_context.endpoints.Put(*record);
     } else {
--- a/src/forward/endpoint_follower.h
+++ b/src/forward/endpoint_follower.h
@@ -23,7 +23,8 @@
 
  private:
   /// Decodes an entry; logs and returns empty if it does not describe a usable endpoint.
-  [[nodiscard]] std::optional<EndpointRecord> Decode(const platform::KeyValueItem& item) const;
+  [[nodiscard]] std::optional<balancing::EndpointRecord> Decode(
+      const platform::KeyValueItem& item) const;
   [[nodiscard]] std::string_view NameOf(const platform::KeyValueItem& item) const noexcept;
 
   ForwardContext& m_context;
--- a/src/forward/forward_context.cc
+++ b/src/forward/forward_context.cc
@@ -30,7 +30,7 @@
          std::max<std::chrono::nanoseconds>(recent, bounds.configuration);
 }
 
-void ForwardContext::SetRequestLimit(Endpoint& endpoint, std::optional<double> limit) {
+void ForwardContext::SetRequestLimit(balancing::Endpoint& endpoint, std::optional<double> limit) {
   const std::optional<double> before = endpoint.quota.limit();
   if (limit == before) {
     return;
@@ -54,15 +54,16 @@
   return std::max<std::size_t>(routers.size(), 1) - 1;
 }
 
-LimitShare ForwardContext::ShareOf(const Endpoint& endpoint, double limit) const {
-  return DivideLimit(
+balancing::LimitShare ForwardContext::ShareOf(const balancing::Endpoint& endpoint,
+                                              double limit) const {
+  return balancing::DivideLimit(
       {.name = endpoint.record.name.value(), .zone = endpoint.record.zone, .limit = limit},
       {.name = self, .zone = zone}, routers);
 }
 
-void ForwardContext::SetRouters(std::vector<RouterInfo> all) {
+void ForwardContext::SetRouters(std::vector<balancing::RouterInfo> all) {
   routers = std::move(all);
-  endpoints.ForEach([this](Endpoint& endpoint) {
+  endpoints.ForEach([this](balancing::Endpoint& endpoint) {
     if (const std::optional<double> limit = endpoint.quota.limit()) {
       endpoint.quota.SetLimit(*limit, ShareOf(endpoint, *limit), clock.Now());
     }
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -10,18 +10,18 @@
 #include <string>
 #include <vector>
 
+#include "balancing/endpoint_registry.h"
+#include "balancing/prompt_quarantine.h"
+#include "balancing/request_cost.h"
+#include "balancing/traffic_share.h"
 #include "core/clock.h"
 #include "core/metrics.h"
 #include "core/random_source.h"
 #include "forward/confirmation.h"
 #include "forward/connection_pool.h"
 #include "forward/crash_detector.h"
-#include "forward/endpoint_registry.h"
 #include "forward/memory_budget.h"
-#include "forward/prompt_quarantine.h"
-#include "forward/request_cost.h"
 #include "forward/routing.h"
-#include "forward/traffic_share.h"
 #include "forward/wire_names.h"
 #include "net/event_loop.h"
 #include "requests/retry_budget.h"
@@ -50,24 +50,25 @@
   /// Name of this router.
   InstanceName self;
   /// All routers, including this one.
-  std::vector<RouterInfo> routers;
+  std::vector<balancing::RouterInfo> routers;
 
-  EndpointRegistry endpoints;
+  balancing::EndpointRegistry endpoints;
   ConnectionPool pool;
   /// Whether the list of endpoints has been read at least once.
   bool endpoints_known = false;
   Confirmation confirmation;
   /// Empty until the first configuration has been read.
   std::shared_ptr<const RoutingConfiguration> configuration;
-  TrafficShare traffic_share;
+  balancing::TrafficShare traffic_share;
   /// Costs of the requests by service.
-  std::map<std::string, RequestCosts, std::less<>> request_costs;
+  std::map<std::string, balancing::RequestCosts, std::less<>> request_costs;
   /// Retry budgets by service.
   std::map<std::string, requests::RetryBudget, std::less<>> retry_budgets;
   CrashDetector crashes;
-  PromptQuarantine quarantine;
+  balancing::PromptQuarantine quarantine;
   /// Receives the request limit in each answer of an endpoint.
-  std::function<void(const EndpointPtr& endpoint, std::optional<double> limit)> on_request_limit;
+  std::function<void(const balancing::EndpointPtr& endpoint, std::optional<double> limit)>
+      on_request_limit;
   /// Answers that have been received and not yet been sent to their callers.
   MemoryBudget answer_memory;
   /// Empty until a planned stop begins.
@@ -78,16 +79,17 @@
   [[nodiscard]] bool IsConfirmed() const noexcept;
 
   /// \brief Sets the request limit that an endpoint has named; empty if it has none.
-  void SetRequestLimit(Endpoint& endpoint, std::optional<double> limit);
+  void SetRequestLimit(balancing::Endpoint& endpoint, std::optional<double> limit);
 
   /// \brief Replaces the list of routers, and divides all request limits anew.
-  void SetRouters(std::vector<RouterInfo> all);
+  void SetRouters(std::vector<balancing::RouterInfo> all);
 
   /// \brief Returns the number of other routers that are known.
   [[nodiscard]] std::size_t OtherRouters() const noexcept;
 
   /// \brief Returns this router's share of an endpoint's request limit.
-  [[nodiscard]] LimitShare ShareOf(const Endpoint& endpoint, double limit) const;
+  [[nodiscard]] balancing::LimitShare ShareOf(const balancing::Endpoint& endpoint,
+                                              double limit) const;
 
   /// \brief Returns the retry budget of a service, creating it at the first request. Its capacity
   /// is adjusted to the estimated number of routers.
--- a/src/forward/forward_task.cc
+++ b/src/forward/forward_task.cc
@@ -3,9 +3,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "balancing/endpoint_ranking.h"
 #include "core/hash.h"
 #include "core/mutant.h"
-#include "forward/endpoint_ranking.h"
 #include "forward/header_rules.h"
 #include "forward/task_common.h"
 
@@ -208,12 +208,13 @@
   if (!m_route->has_prompt) {
     return true;
   }
-  m_prompt = ParsePrompt(http::FindHeader(m_request.head.headers, m_context.names.prompt_parts));
+  m_prompt = balancing::ParsePrompt(
+      http::FindHeader(m_request.head.headers, m_context.names.prompt_parts));
   if (!IsQuarantined()) {
     return true;
   }
   Refuse(requests::HttpStatus(FailureReason::kPromptQuarantined), FailureReason::kPromptQuarantined,
-         PromptQuarantine::kQuarantineTime);
+         balancing::PromptQuarantine::kQuarantineTime);
   return false;
 }
 
@@ -230,7 +231,7 @@
   }
   m_service = *service;
   const auto& headers = m_request.head.headers;
-  RankingRequest ranking;
+  balancing::RankingRequest ranking;
   ranking.zone = m_context.zone;
   ranking.wall_now = m_context.clock.WallNow();
   ranking.other_routers = m_context.OtherRouters();
@@ -241,11 +242,13 @@
   }
   ranking.prompt = m_prompt;
   const double cost =
-      ParseRequestCost(http::FindHeader(headers, m_context.names.token_counts)).value_or(0);
+      balancing::ParseRequestCost(http::FindHeader(headers, m_context.names.token_counts))
+          .value_or(0);
   ranking.is_costly = m_context.request_costs[m_service.value()].IsCostly(cost);
-  Ranking ranked = RankEndpoints(m_context.endpoints.Usable(m_service.value()),
-                                 m_context.endpoints.Draining(m_service.value()), ranking,
-                                 m_context.clock.Now(), m_context.random, kMaxCandidates);
+  balancing::Ranking ranked =
+      balancing::RankEndpoints(m_context.endpoints.Usable(m_service.value()),
+                               m_context.endpoints.Draining(m_service.value()), ranking,
+                               m_context.clock.Now(), m_context.random, kMaxCandidates);
   m_ranked = std::move(ranked.endpoints);
   m_at_home = ranked.at_home;
   m_mean_load = ranked.mean_load;
@@ -271,7 +274,7 @@
   }
   std::vector<router::Candidate> candidates;
   candidates.reserve(m_ranked.size());
-  for (const EndpointPtr& endpoint : m_ranked) {
+  for (const balancing::EndpointPtr& endpoint : m_ranked) {
     candidates.push_back({endpoint->record.name, endpoint->record.address});
   }
   router::RequestPolicy policy;
--- a/src/forward/forward_task.h
+++ b/src/forward/forward_task.h
@@ -10,11 +10,11 @@
 #include <string_view>
 #include <vector>
 
+#include "balancing/endpoint_ranking.h"
+#include "balancing/prompt.h"
 #include "core/log.h"
-#include "forward/endpoint_ranking.h"
 #include "forward/event_framer.h"
 #include "forward/forward_context.h"
-#include "forward/prompt.h"
 #include "forward/response_sink.h"
 #include "router/request_decision.h"
 
@@ -115,8 +115,8 @@
   /// @{
   /// Starts the attempt that the step asks for, or finishes the request.
   void RunStep(router::Step step);
-  [[nodiscard]] bool StartAttempt(const router::Step& step, const EndpointPtr& endpoint);
-  [[nodiscard]] std::string RequestText(const EndpointPtr& endpoint) const;
+  [[nodiscard]] bool StartAttempt(const router::Step& step, const balancing::EndpointPtr& endpoint);
+  [[nodiscard]] std::string RequestText(const balancing::EndpointPtr& endpoint) const;
   void EndAttempt(Attempt& attempt);
   /// Cancels an attempt for a reason that is not the endpoint's fault.
   void CancelAttempt(Attempt& attempt);
@@ -124,8 +124,8 @@
   void EndLostAttempt(Attempt& attempt, requests::FailureReason reason, std::string_view detail);
   void CountAttempt(std::string_view result);
   /// Logs a failed attempt; `what` is the field that shows what the endpoint did.
-  void LogFailedAttempt(const EndpointPtr& endpoint, std::string_view reason, const LogField& what,
-                        std::string_view detail = {}) const;
+  void LogFailedAttempt(const balancing::EndpointPtr& endpoint, std::string_view reason,
+                        const LogField& what, std::string_view detail = {}) const;
   /// Ends the current attempt as lost, and runs the next step after a delay.
   void FailAttempt(requests::FailureReason reason, std::string_view detail,
                    std::chrono::milliseconds retry_delay = std::chrono::milliseconds(0));
@@ -192,7 +192,7 @@
   void CountMemory();
   void FinishAnswer();
   /// Handles an error response to a request that the endpoint has run.
-  void FinishFailure(const EndpointPtr& endpoint);
+  void FinishFailure(const balancing::EndpointPtr& endpoint);
   /// Marks that the bytes sent to the caller can't be continued by another attempt.
   void PinAttempt();
   void OnEvent(std::string_view event, std::optional<std::uint64_t> id);
@@ -226,15 +226,15 @@
   std::uint32_t m_priority = 0;
   ServiceName m_service;
   SteadyTime m_deadline{};
-  std::vector<EndpointPtr> m_ranked;
+  std::vector<balancing::EndpointPtr> m_ranked;
   /// Empty for requests without a prompt.
-  std::optional<SharedPrompt> m_prompt;
+  std::optional<balancing::SharedPrompt> m_prompt;
   bool m_at_home = false;
   /// Endpoint from which other endpoints fetch the prompt's shared parts; null if the first
   /// endpoint is expected to have them.
-  EndpointPtr m_cached_at;
+  balancing::EndpointPtr m_cached_at;
   double m_mean_load = 0;
-  TypicalLoad m_typical_load;
+  balancing::TypicalLoad m_typical_load;
 
   std::optional<router::RequestDecision> m_decision;
   /// Fires at the deadline; before the admission, polls for the first configuration.
--- a/src/forward/forward_task_answer.cc
+++ b/src/forward/forward_task_answer.cc
@@ -1,11 +1,11 @@
 #include <algorithm>
 #include <utility>
 
+#include "balancing/request_limit.h"
 #include "core/mutant.h"
 #include "forward/forward_task.h"
 #include "forward/header_rules.h"
 #include "forward/log_events.h"
-#include "forward/request_limit.h"
 #include "forward/task_common.h"
 
 namespace wagtailwind::forward {
@@ -312,7 +312,7 @@
   EndpointConnection connection = std::move(*m_current.connection);
   m_current.connection.reset();
   connection.endpoint->load.OnEnded();
-  const EndpointPtr endpoint = connection.endpoint;
+  const balancing::EndpointPtr endpoint = connection.endpoint;
   if (reusable) {
     m_context.pool.Release(
         std::move(connection),
@@ -352,7 +352,7 @@
     case AnswerKind::kInvalid:
     case AnswerKind::kNone:
       CountAttempt("invalid");
-      endpoint->health.OnFailure(AttemptFailure::kErrorResponse, now);
+      endpoint->health.OnFailure(balancing::AttemptFailure::kErrorResponse, now);
       LogFailedAttempt(endpoint, requests::ToText(FailureReason::kConnectionLost),
                        {"detail", m_current.invalid_reason});
       RunStep(m_decision->OnLost(m_current.number, FailureReason::kConnectionLost));
@@ -360,7 +360,7 @@
   }
 }
 
-void ForwardTask::FinishFailure(const EndpointPtr& endpoint) {
+void ForwardTask::FinishFailure(const balancing::EndpointPtr& endpoint) {
   const SteadyTime now = m_context.clock.Now();
   const int status = m_current.answer_head.status;
   // Unless the endpoint marks the response as a refusal, the request may have run, and this status
@@ -374,7 +374,7 @@
     Finish(m_decision->OnAbort(FailureReason::kEngineLost));
     return;
   }
-  endpoint->health.OnFailure(AttemptFailure::kErrorResponse, now);
+  endpoint->health.OnFailure(balancing::AttemptFailure::kErrorResponse, now);
   LogFailedAttempt(endpoint, requests::ToText(FailureReason::kEngineLost), {"status", status},
                    is_unmarked_refusal ? "status of a refusal without the refusal header" : "");
   RunStep(m_decision->OnLost(m_current.number, FailureReason::kEngineLost));
@@ -395,12 +395,12 @@
     return;
   }
   if (end == http1::ConnectionEnd::kNotConnected) {
-    const EndpointPtr endpoint = m_current.connection->endpoint;
+    const balancing::EndpointPtr endpoint = m_current.connection->endpoint;
     LogFailedAttempt(endpoint, http1::ToText(end), {"detail", detail});
     CountAttempt(m_current.withdrawn ? "withdrawn" : "not_connected");
-    m_current.withdrawn
-        ? endpoint->health.OnNotSent()
-        : endpoint->health.OnFailure(AttemptFailure::kNotConnected, m_context.clock.Now());
+    m_current.withdrawn ? endpoint->health.OnNotSent()
+                        : endpoint->health.OnFailure(balancing::AttemptFailure::kNotConnected,
+                                                     m_context.clock.Now());
     EndAttempt(m_current);
     RunStep(m_decision->OnNotHandedOver(m_current.number));
     return;
--- a/src/forward/forward_task_attempts.cc
+++ b/src/forward/forward_task_attempts.cc
@@ -63,10 +63,10 @@
     return;
   }
   while (step.kind == router::Step::Kind::kAttempt) {
-    const auto endpoint =
-        std::find_if(m_ranked.begin(), m_ranked.end(), [&step](const EndpointPtr& candidate) {
-          return candidate->record.name == step.candidate.endpoint;
-        });
+    const auto endpoint = std::find_if(m_ranked.begin(), m_ranked.end(),
+                                       [&step](const balancing::EndpointPtr& candidate) {
+                                         return candidate->record.name == step.candidate.endpoint;
+                                       });
     if (endpoint != m_ranked.end() && StartAttempt(step, *endpoint)) {
       return;
     }
@@ -77,7 +77,7 @@
   }
 }
 
-bool ForwardTask::StartAttempt(const router::Step& step, const EndpointPtr& endpoint) {
+bool ForwardTask::StartAttempt(const router::Step& step, const balancing::EndpointPtr& endpoint) {
   const SteadyTime now = m_context.clock.Now();
   if (!endpoint->usable || TimeLeft() < kMinAttemptTime || !endpoint->IsAvailable(now)) {
     return false;
@@ -112,7 +112,7 @@
   return true;
 }
 
-std::string ForwardTask::RequestText(const EndpointPtr& endpoint) const {
+std::string ForwardTask::RequestText(const balancing::EndpointPtr& endpoint) const {
   const WireNames& names = m_context.names;
   std::string text = m_request.head.method + " " + m_request.head.target + " HTTP/1.1\r\n";
   const auto add = [&text](std::string_view name, std::string_view value) {
@@ -157,7 +157,7 @@
 }
 
 void ForwardTask::CancelAttempt(Attempt& attempt) {
-  EndpointHealth& health = attempt.connection->endpoint->health;
+  balancing::EndpointHealth& health = attempt.connection->endpoint->health;
   attempt.sent ? health.OnInconclusive() : health.OnNotSent();
   EndAttempt(attempt);
 }
@@ -181,7 +181,7 @@
       .Add();
 }
 
-void ForwardTask::LogFailedAttempt(const EndpointPtr& endpoint, std::string_view reason,
+void ForwardTask::LogFailedAttempt(const balancing::EndpointPtr& endpoint, std::string_view reason,
                                    const LogField& what, std::string_view detail) const {
   const LogField id("id", m_id);
   const LogField attempt("attempt", m_current.number);
@@ -195,7 +195,7 @@
 }
 
 void ForwardTask::EndLostAttempt(Attempt& attempt, FailureReason reason, std::string_view detail) {
-  const EndpointPtr endpoint = attempt.connection->endpoint;
+  const balancing::EndpointPtr endpoint = attempt.connection->endpoint;
   Log(kAttemptFailed,
       {{"id", m_id},
        {"attempt", attempt.number},
@@ -209,7 +209,7 @@
        {"parts", m_prompt ? ToText(m_prompt->parts) : std::string()},
        {"after_ms", detail::ToMilliseconds(m_context.clock.Now() - attempt.sent_at)}});
   CountAttempt("lost");
-  endpoint->health.OnFailure(AttemptFailure::kConnectionLost, m_context.clock.Now());
+  endpoint->health.OnFailure(balancing::AttemptFailure::kConnectionLost, m_context.clock.Now());
   EndAttempt(attempt);
 }
 
@@ -291,10 +291,11 @@
 bool ForwardTask::HasAlternative() const {
   return m_decision->attempts() < m_route->max_attempts &&
          m_context.RetryBudgetFor(m_service).Tokens() >= 1 &&
-         std::any_of(m_ranked.begin(), m_ranked.end(), [this](const EndpointPtr& endpoint) {
-           return endpoint->usable && endpoint != m_current.connection->endpoint &&
-                  endpoint->IsAvailable(m_context.clock.Now());
-         });
+         std::any_of(m_ranked.begin(), m_ranked.end(),
+                     [this](const balancing::EndpointPtr& endpoint) {
+                       return endpoint->usable && endpoint != m_current.connection->endpoint &&
+                              endpoint->IsAvailable(m_context.clock.Now());
+                     });
 }
 
 void ForwardTask::AskOtherEndpoint() {
@@ -330,7 +331,7 @@
   m_decision->OnSetAsideResumed();
   m_current = std::move(*m_set_aside);
   m_set_aside.reset();
-  const EndpointPtr& endpoint = m_current.connection->endpoint;
+  const balancing::EndpointPtr& endpoint = m_current.connection->endpoint;
   m_last_endpoint = endpoint->record.name;
   Log(kAttemptResumed,
       {{"id", m_id}, {"attempt", m_current.number}, {"endpoint", m_last_endpoint.value()}});
--- a/src/forward/forward_task_head.cc
+++ b/src/forward/forward_task_head.cc
@@ -69,9 +69,9 @@
 void ForwardTask::RecordRequestLimit(const http1::MessageHead& head) {
   // Bytes of another process, or none that the endpoint meant, say nothing of its limit.
   if (IsEndpointsOwn(head)) {
-    m_context.on_request_limit(
-        m_current.connection->endpoint,
-        ParseRequestLimit(http::FindHeader(head.headers, m_context.names.request_limit)));
+    m_context.on_request_limit(m_current.connection->endpoint,
+                               balancing::ParseRequestLimit(
+                                   http::FindHeader(head.headers, m_context.names.request_limit)));
   }
 }
 
@@ -82,13 +82,13 @@
   if (!is_refusal) {
     return;
   }
-  const EndpointPtr& endpoint = m_current.connection->endpoint;
+  const balancing::EndpointPtr& endpoint = m_current.connection->endpoint;
   std::optional<std::chrono::nanoseconds> longest;
   for (const http::Header& header : head.headers) {
     if (!http::SameName(header.name, "Retry-After")) {
       continue;
     }
-    const auto time = ParsePauseTime(header.value);
+    const auto time = balancing::ParsePauseTime(header.value);
     if (time) {
       longest = std::max(longest.value_or(0ns), *time);
     } else {
@@ -115,7 +115,7 @@
 }
 
 void ForwardTask::RecordLeaving(const http1::MessageHead& head) {
-  const EndpointPtr& endpoint = m_current.connection->endpoint;
+  const balancing::EndpointPtr& endpoint = m_current.connection->endpoint;
   if (http::FindHeader(head.headers, m_context.names.leaving) != kLeaving ||
       IsMutantEnabled("forwarder_ignores_announced_leaving") ||
       !m_context.endpoints.OnLeaving(*endpoint)) {
--- a/src/forward/forward_task_response.cc
+++ b/src/forward/forward_task_response.cc
@@ -131,7 +131,7 @@
 std::chrono::nanoseconds ForwardTask::EndpointWait() const {
   const SteadyTime now = m_context.clock.Now();
   std::optional<std::chrono::nanoseconds> shortest;
-  for (const EndpointPtr& endpoint : m_context.endpoints.Usable(m_service.value())) {
+  for (const balancing::EndpointPtr& endpoint : m_context.endpoints.Usable(m_service.value())) {
     const std::chrono::nanoseconds wait = endpoint->WaitTime(now);
     shortest = std::min(shortest.value_or(wait), wait);
   }
@@ -147,7 +147,7 @@
   if (reason == FailureReason::kDeadlineExceeded) {
     retry_after.reset();
   } else if (reason == FailureReason::kPromptQuarantined) {
-    retry_after = PromptQuarantine::kQuarantineTime;
+    retry_after = balancing::PromptQuarantine::kQuarantineTime;
   }
   Refuse(detail::kStatusUnavailable, reason, retry_after);
 }
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -189,12 +189,13 @@
                 .zone = settings.zone,
                 .self = settings.instance,
                 .routers = {{.name = settings.instance, .zone = settings.zone}},
-                .endpoints = EndpointRegistry([this](const EndpointPtr& endpoint) {
-                  Log(kEndpointRemoved, {{"endpoint", endpoint->record.name.value()},
-                                         {"service", endpoint->record.service.value()},
-                                         {"incarnation", endpoint->record.incarnation}});
-                  m_context.pool.CloseIdle(*endpoint);
-                }),
+                .endpoints =
+                    balancing::EndpointRegistry([this](const balancing::EndpointPtr& endpoint) {
+                      Log(kEndpointRemoved, {{"endpoint", endpoint->record.name.value()},
+                                             {"service", endpoint->record.service.value()},
+                                             {"incarnation", endpoint->record.incarnation}});
+                      m_context.pool.CloseIdle(*endpoint);
+                    }),
                 .pool = ConnectionPool(loop, clock),
                 .endpoints_known = false,
                 .confirmation = {},
@@ -202,14 +203,14 @@
                 .traffic_share = {},
                 .request_costs = {},
                 .retry_budgets = {},
-                .crashes = CrashDetector(
-                    loop,
-                    [this](const EndpointPtr& endpoint, std::vector<SuspectPrompt> prompts) {
-                      m_crash_reports.OnCrash(endpoint, std::move(prompts));
-                    }),
+                .crashes = CrashDetector(loop,
+                                         [this](const balancing::EndpointPtr& endpoint,
+                                                std::vector<balancing::SuspectPrompt> prompts) {
+                                           m_crash_reports.OnCrash(endpoint, std::move(prompts));
+                                         }),
                 .quarantine = {},
                 .on_request_limit =
-                    [this](const EndpointPtr& endpoint, std::optional<double> limit) {
+                    [this](const balancing::EndpointPtr& endpoint, std::optional<double> limit) {
                       m_limits.OnAnswer(endpoint, limit);
                     },
                 .answer_memory = MemoryBudget(settings.memory_bytes / kAnswerMemoryDivisor)},
@@ -354,7 +355,7 @@
       << (m_context.configuration ? m_context.configuration->version : 0) << '\n';
   if (m_context.configuration) {
     for (const auto& [name, spec] : m_context.configuration->services) {
-      for (const EndpointPtr& endpoint : m_context.endpoints.Usable(name)) {
+      for (const balancing::EndpointPtr& endpoint : m_context.endpoints.Usable(name)) {
         out << "endpoint " << endpoint->record.name.value() << " service " << name << " address "
             << endpoint->record.address << " own " << endpoint->load.own() << " load "
             << endpoint->load.Requests(now) << " failure_rate " << endpoint->health.FailureRate(now)
--- a/src/forward/header_rules.cc
+++ b/src/forward/header_rules.cc
@@ -89,14 +89,14 @@
   return std::nullopt;
 }
 
-std::optional<LoadReport> ParseLoad(std::string_view text) noexcept {
+std::optional<balancing::LoadReport> ParseLoad(std::string_view text) noexcept {
   const auto running = ParseNumber<std::uint32_t>(PopListItem(text));
   const auto waiting = ParseNumber<std::uint32_t>(PopListItem(text));
   const auto slots = ParseNumber<std::uint32_t>(PopListItem(text));
   if (!running || !waiting || !slots) {
     return std::nullopt;
   }
-  return LoadReport{.running = *running, .waiting = *waiting, .slots = *slots};
+  return balancing::LoadReport{.running = *running, .waiting = *waiting, .slots = *slots};
 }
 
 }  // namespace wagtailwind::forward
--- a/src/forward/header_rules.h
+++ b/src/forward/header_rules.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-#include "forward/load_estimate.h"
+#include "balancing/load_estimate.h"
 #include "http/message.h"
 
 namespace wagtailwind::forward {
@@ -28,7 +28,7 @@
 
 /// \brief Parses a load field: running requests, waiting requests, and slots. Empty if it is
 /// malformed.
-[[nodiscard]] std::optional<LoadReport> ParseLoad(std::string_view text) noexcept;
+[[nodiscard]] std::optional<balancing::LoadReport> ParseLoad(std::string_view text) noexcept;
 
 }  // namespace wagtailwind::forward
 
--- a/src/forward/request_limits.cc
+++ b/src/forward/request_limits.cc
@@ -59,11 +59,11 @@
 
 RequestLimits::~RequestLimits() = default;
 
-std::string RequestLimits::KeyOf(const Endpoint& endpoint) {
+std::string RequestLimits::KeyOf(const balancing::Endpoint& endpoint) {
   return endpoint.record.name.value() + "@" + std::to_string(endpoint.record.incarnation);
 }
 
-void RequestLimits::OnAnswer(const EndpointPtr& endpoint, std::optional<double> limit) {
+void RequestLimits::OnAnswer(const balancing::EndpointPtr& endpoint, std::optional<double> limit) {
   m_context.SetRequestLimit(*endpoint, limit);
   std::string key = KeyOf(*endpoint);
   auto found = m_entries.find(key);
@@ -119,12 +119,12 @@
 
 void RequestLimits::OnRecord(const platform::KeyValueItem& item) {
   const std::string key = item.key.substr(m_prefix.size());
-  const std::optional<double> limit = ParseRequestLimit(item.value);
+  const std::optional<double> limit = balancing::ParseRequestLimit(item.value);
   if (!limit && item.value != kUnlimited) {
     Log(kLimitRecordIgnored, {{"key", item.key}, {"revision", item.revision}});
     return;
   }
-  const EndpointPtr endpoint =
+  const balancing::EndpointPtr endpoint =
       m_context.endpoints.Find(std::string_view(key).substr(0, key.rfind('@')));
   if (!endpoint || KeyOf(*endpoint) != key) {
     return;
@@ -139,13 +139,13 @@
 }
 
 void RequestLimits::Tick() {
-  const std::uint64_t turn = CheckTurn(m_context.clock.WallNow());
+  const std::uint64_t turn = balancing::CheckTurn(m_context.clock.WallNow());
   if (turn == std::exchange(m_turn, turn)) {
     return;
   }
-  const RouterInfo self{.name = m_context.self, .zone = m_context.zone};
+  const balancing::RouterInfo self{.name = m_context.self, .zone = m_context.zone};
   for (auto& [key, entry] : m_entries) {
-    entry.endpoint->quota.SetCheckPermit(MayCheck(key, self, m_context.routers, turn));
+    entry.endpoint->quota.SetCheckPermit(balancing::MayCheck(key, self, m_context.routers, turn));
   }
 }
 
--- a/src/forward/request_limits.h
+++ b/src/forward/request_limits.h
@@ -30,7 +30,7 @@
   ~RequestLimits() override;
 
   /// \brief An answer of the endpoint named this limit, or none.
-  void OnAnswer(const EndpointPtr& endpoint, std::optional<double> limit);
+  void OnAnswer(const balancing::EndpointPtr& endpoint, std::optional<double> limit);
 
   void OnSnapshot(const std::vector<platform::KeyValueItem>& items, BootTime valid_as_of) override;
   void OnChanges(const std::vector<platform::KeyValueItem>& changes, BootTime valid_as_of) override;
@@ -45,7 +45,7 @@
  private:
   /// What is known of the limit of one process of an endpoint.
   struct Entry {
-    EndpointPtr endpoint;
+    balancing::EndpointPtr endpoint;
     /// Limit in the last record.
     std::optional<double> shared;
     /// Limit in the last answer to this router, and its time.
@@ -55,7 +55,7 @@
     std::unique_ptr<net::Timer> timer;
   };
 
-  [[nodiscard]] static std::string KeyOf(const Endpoint& endpoint);
+  [[nodiscard]] static std::string KeyOf(const balancing::Endpoint& endpoint);
   void OnTimer(const std::string& key);
   void OnRecord(const platform::KeyValueItem& item);
   void RemoveGone();
--- a/src/forward/router_directory.cc
+++ b/src/forward/router_directory.cc
@@ -102,7 +102,7 @@
 }
 
 void RouterDirectory::Update() {
-  std::vector<RouterInfo> routers;
+  std::vector<balancing::RouterInfo> routers;
   routers.reserve(m_routers.size());
   for (const auto& [name, router] : m_routers) {
     routers.push_back({.name = InstanceName(name), .zone = router.zone});
--- a/tests/support/forwarder_fixture.cc
+++ b/tests/support/forwarder_fixture.cc
@@ -71,12 +71,12 @@
   return found->second;
 }
 
-forward::EndpointRecord FakeDeployment::DecodeEndpoint(std::string_view name,
-                                                       std::string_view value) const {
+balancing::EndpointRecord FakeDeployment::DecodeEndpoint(std::string_view name,
+                                                         std::string_view value) const {
   std::istringstream fields{std::string(value)};
   std::string service;
   std::string state;
-  forward::EndpointRecord record;
+  balancing::EndpointRecord record;
   record.name = EndpointName(std::string(name));
   if (!(fields >> service >> record.address >> state >> record.incarnation)) {
     throw forward::MalformedEndpointEntry("fields are missing");
--- a/tests/support/forwarder_fixture.h
+++ b/tests/support/forwarder_fixture.h
@@ -60,8 +60,8 @@
       std::string_view value) const override;
 
   /// \brief Parses the value `service address state incarnation`.
-  [[nodiscard]] forward::EndpointRecord DecodeEndpoint(std::string_view name,
-                                                       std::string_view value) const override;
+  [[nodiscard]] balancing::EndpointRecord DecodeEndpoint(std::string_view name,
+                                                         std::string_view value) const override;
 
   [[nodiscard]] std::string RangeRequest(std::string_view prefix,
                                          std::string_view after_key) const override;
--- a/tests/unit/forward_endpoint_health_test.cc
+++ b/tests/unit/forward_endpoint_health_test.cc
@@ -1,7 +1,7 @@
 #include <memory>
 
-#include "forward/endpoint_health.h"
-#include "forward/load_estimate.h"
+#include "balancing/endpoint_health.h"
+#include "balancing/load_estimate.h"
 #include "support/fake_clock.h"
 
 // Included last because its macros break the headers of Abseil.
@@ -10,10 +10,10 @@
 namespace {
 
 using namespace std::chrono_literals;
-using wagtailwind::forward::AttemptFailure;
-using wagtailwind::forward::EndpointHealth;
-using wagtailwind::forward::LoadEstimate;
-using wagtailwind::forward::TypicalLoad;
+using wagtailwind::balancing::AttemptFailure;
+using wagtailwind::balancing::EndpointHealth;
+using wagtailwind::balancing::LoadEstimate;
+using wagtailwind::balancing::TypicalLoad;
 using wagtailwind::testing::FakeClock;
 
 }  // namespace
@@ -124,7 +124,7 @@
 // a last report that hides the prompts that return.
 Test(load_estimate, follows_the_load_of_the_pool_after_a_limit) {
   FakeClock clock;
-  const auto average = std::make_shared<wagtailwind::forward::LoadReportAverage>();
+  const auto average = std::make_shared<wagtailwind::balancing::LoadReportAverage>();
   LoadEstimate loaded(average);
   LoadEstimate limited(average);
   LoadEstimate other(average);
--- a/tests/unit/forward_endpoint_ranking_test.cc
+++ b/tests/unit/forward_endpoint_ranking_test.cc
@@ -4,8 +4,8 @@
 #include <string>
 #include <vector>
 
+#include "balancing/endpoint_ranking.h"
 #include "core/random_source.h"
-#include "forward/endpoint_ranking.h"
 #include "support/fake_clock.h"
 
 // Included last because its macros break the headers of Abseil.
@@ -15,10 +15,10 @@
 
 using namespace std::chrono_literals;
 using namespace wagtailwind;  // NOLINT(google-build-using-namespace)
-using forward::EndpointPtr;
-using forward::Ranking;
-using forward::RankingRequest;
-using forward::SharedPrompt;
+using balancing::EndpointPtr;
+using balancing::Ranking;
+using balancing::RankingRequest;
+using balancing::SharedPrompt;
 
 constexpr std::uint64_t kLongPromptTokens = 10'000;
 constexpr std::uint64_t kShortPromptTokens = 700;
@@ -31,7 +31,7 @@
   }
 
   EndpointPtr Add(const std::string& name, std::chrono::milliseconds age) {
-    auto endpoint = std::make_shared<forward::Endpoint>();
+    auto endpoint = std::make_shared<balancing::Endpoint>();
     endpoint->record.name = EndpointName(name);
     endpoint->record.slots = 32;
     endpoint->record.started_at = clock.WallNow() - age;
@@ -53,7 +53,7 @@
     RankingRequest request;
     request.prompt = SharedPrompt{.key = key, .tokens = tokens};
     request.wall_now = clock.WallNow();
-    return forward::RankEndpoints(endpoints, draining, request, clock.Now(), random, 4);
+    return balancing::RankEndpoints(endpoints, draining, request, clock.Now(), random, 4);
   }
 
   Ranking RankSmall(std::uint64_t key) {
@@ -61,11 +61,11 @@
     request.prompt = SharedPrompt{.key = key, .tokens = kShortPromptTokens};
     request.wall_now = clock.WallNow();
     request.is_costly = false;
-    return forward::RankEndpoints(endpoints, draining, request, clock.Now(), random, 4);
+    return balancing::RankEndpoints(endpoints, draining, request, clock.Now(), random, 4);
   }
 
   Ranking RankCall() {
-    return forward::RankEndpoints(endpoints, draining, {}, clock.Now(), random, 4);
+    return balancing::RankEndpoints(endpoints, draining, {}, clock.Now(), random, 4);
   }
 
   testing::FakeClock clock;
@@ -172,7 +172,7 @@
     for (int i = 0; i < 20; ++i) {
       i % 2 == 0
           ? endpoint->health.OnSuccess(pool.clock.Now())
-          : endpoint->health.OnFailure(forward::AttemptFailure::kErrorResponse, pool.clock.Now());
+          : endpoint->health.OnFailure(balancing::AttemptFailure::kErrorResponse, pool.clock.Now());
     }
   };
   fail_half(home);
@@ -194,7 +194,7 @@
   request.zone = AvailabilityZoneName("here");
   for (int i = 0; i < 20; ++i) {
     const Ranking ranking =
-        forward::RankEndpoints(pool.endpoints, {}, request, pool.clock.Now(), pool.random, 4);
+        balancing::RankEndpoints(pool.endpoints, {}, request, pool.clock.Now(), pool.random, 4);
     cr_assert_eq(ranking.endpoints[0].get(), pool.endpoints[2].get());
   }
 }
@@ -210,19 +210,19 @@
   request.model = ModelName("large");
   request.max_connections = 10;
   const Ranking ranking =
-      forward::RankEndpoints(pool.endpoints, {}, request, pool.clock.Now(), pool.random, 4);
+      balancing::RankEndpoints(pool.endpoints, {}, request, pool.clock.Now(), pool.random, 4);
   cr_assert_eq(ranking.endpoints.size(), 1);
   cr_assert_eq(ranking.endpoints[0].get(), pool.endpoints[0].get());
 }
 
 // Guards against prompt keys that depend on the request's own part, or that ignore a shared part.
 Test(endpoint_ranking, reads_the_shared_parts_of_a_prompt) {
-  const auto one = forward::ParsePrompt("5c1e07a2:800,91bd3f06:410,e4402b7d:250");
-  const auto other = forward::ParsePrompt("5c1e07a2:800,91bd3f06:410,aaaaaaaa:9");
+  const auto one = balancing::ParsePrompt("5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+  const auto other = balancing::ParsePrompt("5c1e07a2:800,91bd3f06:410,aaaaaaaa:9");
   cr_assert_eq(one->key, other->key);
   cr_assert_eq(one->tokens, 1210);
-  cr_assert_neq(one->key, forward::ParsePrompt("5c1e07a2:800,e4402b7d:250")->key);
-  cr_assert_not(forward::ParsePrompt("").has_value());
+  cr_assert_neq(one->key, balancing::ParsePrompt("5c1e07a2:800,e4402b7d:250")->key);
+  cr_assert_not(balancing::ParsePrompt("").has_value());
 }
 
 // Load pattern: most endpoints of a pool name a limit of requests. Guards against requests that
--- a/tests/unit/forward_endpoint_registry_test.cc
+++ b/tests/unit/forward_endpoint_registry_test.cc
@@ -1,7 +1,7 @@
 #include <string>
 #include <vector>
 
-#include "forward/endpoint_registry.h"
+#include "balancing/endpoint_registry.h"
 #include "support/fake_clock.h"
 
 // Included last because its macros break the headers of Abseil.
@@ -11,8 +11,8 @@
 
 using namespace std::chrono_literals;
 using namespace wagtailwind;  // NOLINT(google-build-using-namespace)
-using forward::EndpointRecord;
-using forward::EndpointRegistry;
+using balancing::EndpointRecord;
+using balancing::EndpointRegistry;
 
 EndpointRecord Record(const std::string& name, bool draining = false, Incarnation incarnation = 1) {
   EndpointRecord record;
@@ -27,7 +27,7 @@
 struct Fixture {
   testing::FakeClock clock;
   std::vector<std::string> removed;
-  EndpointRegistry registry{[this](const forward::EndpointPtr& endpoint) {
+  EndpointRegistry registry{[this](const balancing::EndpointPtr& endpoint) {
     removed.push_back(endpoint->record.name.value());
   }};
 
--- a/tests/unit/forward_fuzz_test.cc
+++ b/tests/unit/forward_fuzz_test.cc
@@ -1,9 +1,9 @@
 #include <string>
 #include <vector>
 
+#include "balancing/endpoint_ranking.h"
 #include "core/random_source.h"
 #include "forward/deployment_adapter.h"
-#include "forward/endpoint_ranking.h"
 #include "forward/event_framer.h"
 #include "forward/header_rules.h"
 #include "http1/message_parser.h"
@@ -16,6 +16,7 @@
 namespace {
 
 using wagtailwind::SeededRandomSource;
+namespace balancing = wagtailwind::balancing;
 namespace forward = wagtailwind::forward;
 namespace http1 = wagtailwind::http1;
 namespace adapter = wagtailwind::adapter;
@@ -152,7 +153,7 @@
   SeededRandomSource random(14);
   for (int i = 0; i < kInputs; ++i) {
     const std::string text = Mutated(samples, random);
-    (void)forward::ParsePrompt(text);
+    (void)balancing::ParsePrompt(text);
     (void)forward::ParseLoad(text);
     (void)forward::KeepAliveTimeout(text);
     (void)forward::ParseMilliseconds(text);
--- a/tests/unit/forward_limit_share_test.cc
+++ b/tests/unit/forward_limit_share_test.cc
@@ -5,9 +5,9 @@
 #include <string>
 #include <vector>
 
+#include "balancing/request_cost.h"
+#include "balancing/request_limit.h"
 #include "core/random_source.h"
-#include "forward/request_cost.h"
-#include "forward/request_limit.h"
 
 // Included last because its macros break the headers of Abseil.
 #include <criterion/criterion.h>
@@ -16,10 +16,10 @@
 
 using namespace std::chrono_literals;
 using namespace wagtailwind;  // NOLINT(google-build-using-namespace)
-using forward::DivideLimit;
-using forward::LimitShare;
-using forward::RequestQuota;
-using forward::RouterInfo;
+using balancing::DivideLimit;
+using balancing::LimitShare;
+using balancing::RequestQuota;
+using balancing::RouterInfo;
 
 std::vector<RouterInfo> Routers(int count, int zones) {
   std::vector<RouterInfo> routers;
@@ -144,10 +144,10 @@
   constexpr int kTurns = 2'000;
   for (int turn = 0; turn < kTurns; ++turn) {
     const WallTime now{std::chrono::hours(1) + turn * 20s + 5s};
-    cr_assert_eq(forward::CheckTurn(now + 10s), forward::CheckTurn(now));
+    cr_assert_eq(balancing::CheckTurn(now + 10s), balancing::CheckTurn(now));
     int checking = 0;
     for (std::size_t i = 0; i < routers.size(); ++i) {
-      const bool is_turn = forward::MayCheck("e", routers[i], routers, forward::CheckTurn(now));
+      const bool is_turn = balancing::MayCheck("e", routers[i], routers, balancing::CheckTurn(now));
       checking += is_turn ? 1 : 0;
       turns[i] += is_turn ? 1 : 0;
     }
@@ -177,28 +177,28 @@
 
 // Guards against values that are no limit.
 Test(limit_share, parses_only_numbers) {
-  cr_assert(forward::ParseRequestLimit("4.5") == std::optional(4.5));
-  cr_assert(forward::ParseRequestLimit("0") == std::optional(0.0));
+  cr_assert(balancing::ParseRequestLimit("4.5") == std::optional(4.5));
+  cr_assert(balancing::ParseRequestLimit("0") == std::optional(0.0));
   for (const char* text : {"", "-1", "nan", "inf", "4.5x", "none", " 4"}) {
-    cr_assert_not(forward::ParseRequestLimit(text).has_value(), "%s", text);
+    cr_assert_not(balancing::ParseRequestLimit(text).has_value(), "%s", text);
   }
 }
 
 // Load: a few large prompts among many small ones. Guards against a limit that counts requests
 // being used up by the small ones.
 Test(request_cost, tells_large_prompts_from_small_ones) {
-  forward::RequestCosts costs;
+  balancing::RequestCosts costs;
   for (int i = 0; i < 1'000; ++i) {
     const bool is_large = i % 5 == 0;
     const bool is_costly = costs.IsCostly(is_large ? 15'000 : 3'000);
     cr_assert(i < 100 || is_costly == is_large);
   }
-  forward::RequestCosts equal;
+  balancing::RequestCosts equal;
   for (int i = 0; i < 1'000; ++i) {
     cr_assert(equal.IsCostly(0.1));
   }
-  cr_assert(forward::ParseRequestCost("1460,80") == std::optional(1460 + 800.0));
+  cr_assert(balancing::ParseRequestCost("1460,80") == std::optional(1460 + 800.0));
   for (const char* text : {"", "1460", "1460,", ",80", "1460,80,1", "a,b", "-1,2"}) {
-    cr_assert_not(forward::ParseRequestCost(text).has_value(), "%s", text);
+    cr_assert_not(balancing::ParseRequestCost(text).has_value(), "%s", text);
   }
 }
--- a/tests/unit/forward_load_bound_test.cc
+++ b/tests/unit/forward_load_bound_test.cc
@@ -9,9 +9,9 @@
 #include <utility>
 #include <vector>
 
+#include "balancing/endpoint_ranking.h"
+#include "balancing/endpoint_registry.h"
 #include "core/random_source.h"
-#include "forward/endpoint_ranking.h"
-#include "forward/endpoint_registry.h"
 #include "support/fake_clock.h"
 
 // Included last because its macros break the headers of Abseil.
@@ -21,9 +21,9 @@
 
 using namespace std::chrono_literals;
 using namespace wagtailwind;  // NOLINT(google-build-using-namespace)
-using forward::EndpointPtr;
-using forward::EndpointRegistry;
-using forward::RouterInfo;
+using balancing::EndpointPtr;
+using balancing::EndpointRegistry;
+using balancing::RouterInfo;
 using std::chrono::nanoseconds;
 
 constexpr int kRouters = 46;
@@ -82,7 +82,7 @@
   void RestartRouters() {
     m_routers.assign(kRouters, EndpointRegistry());
     for (EndpointRegistry& router : m_routers) {
-      for (const forward::EndpointRecord& record : m_records) {
+      for (const balancing::EndpointRecord& record : m_records) {
         router.Put(record);
       }
     }
@@ -90,8 +90,8 @@
   }
 
   void Limit(int endpoints, double limit) {
-    ForLimited(endpoints, [&](forward::Endpoint& endpoint, const RouterInfo& router) {
-      const forward::LimitShare share = forward::DivideLimit(
+    ForLimited(endpoints, [&](balancing::Endpoint& endpoint, const RouterInfo& router) {
+      const balancing::LimitShare share = balancing::DivideLimit(
           {.name = endpoint.record.name.value(), .zone = endpoint.record.zone, .limit = limit},
           router, m_infos);
       endpoint.quota.SetLimit(limit, share, m_clock.Now());
@@ -99,7 +99,7 @@
   }
 
   void EndLimits(int endpoints) {
-    ForLimited(endpoints, [&](forward::Endpoint& endpoint, const RouterInfo& /*router*/) {
+    ForLimited(endpoints, [&](balancing::Endpoint& endpoint, const RouterInfo& /*router*/) {
       endpoint.quota.RemoveLimit();
       endpoint.load.OnLimitEnded(m_clock.Now());
     });
@@ -149,7 +149,7 @@
     }
   }
 
-  std::uint32_t& RunningAt(const forward::Endpoint& endpoint) {
+  std::uint32_t& RunningAt(const balancing::Endpoint& endpoint) {
     return m_running[endpoint.record.name.value()];
   }
 
@@ -158,7 +158,7 @@
       const Event event = m_events.top();
       m_events.pop();
       m_clock.Advance(event.at - m_clock.Now());
-      forward::Endpoint& endpoint = *event.endpoint;
+      balancing::Endpoint& endpoint = *event.endpoint;
       if (!event.is_end) {
         endpoint.load.OnReport({.running = RunningAt(endpoint), .waiting = 0, .slots = kSlots},
                                m_clock.Now());
@@ -182,15 +182,15 @@
     if (kind == 1 && m_random.NextFraction() < m_popular_share) {
       prompt = 0;
     }
-    forward::RankingRequest request;
-    request.prompt = forward::SharedPrompt{.key = prompt * kPrompts.size() + kind + 1,
-                                           .tokens = kPrompts[kind].shared_tokens};
+    balancing::RankingRequest request;
+    request.prompt = balancing::SharedPrompt{.key = prompt * kPrompts.size() + kind + 1,
+                                             .tokens = kPrompts[kind].shared_tokens};
     request.zone = m_infos[router].zone;
     request.wall_now = m_clock.WallNow();
     request.other_routers = kRouters - 1;
     request.is_costly = kind == 0;
-    const forward::Ranking ranking = forward::RankEndpoints(m_routers[router].Usable(kService), {},
-                                                            request, m_clock.Now(), m_random, 1);
+    const balancing::Ranking ranking = balancing::RankEndpoints(
+        m_routers[router].Usable(kService), {}, request, m_clock.Now(), m_random, 1);
     const EndpointPtr& endpoint = ranking.endpoints.front();
     (void)endpoint->quota.TryTake(m_clock.Now());
     std::uint32_t total = 0;
@@ -219,7 +219,7 @@
   testing::FakeClock m_clock;
   SeededRandomSource m_random;
   std::vector<RouterInfo> m_infos;
-  std::vector<forward::EndpointRecord> m_records;
+  std::vector<balancing::EndpointRecord> m_records;
   std::vector<EndpointRegistry> m_routers;
   std::uint64_t m_generation = 0;
   /// Sums of the weights of the prompts, most popular first.
--- a/tests/unit/forward_prompt_quarantine_test.cc
+++ b/tests/unit/forward_prompt_quarantine_test.cc
@@ -3,8 +3,8 @@
 #include <string>
 #include <vector>
 
+#include "balancing/prompt_quarantine.h"
 #include "forward/crash_report.h"
-#include "forward/prompt_quarantine.h"
 
 // Included last because its macros break the headers of Abseil.
 #include <criterion/criterion.h>
@@ -13,10 +13,10 @@
 
 using namespace std::chrono_literals;
 using namespace wagtailwind;  // NOLINT(google-build-using-namespace)
-using forward::CrashReport;
-using forward::PromptPart;
-using forward::PromptQuarantine;
-using forward::SuspectPrompt;
+using balancing::CrashReport;
+using balancing::PromptPart;
+using balancing::PromptQuarantine;
+using balancing::SuspectPrompt;
 
 using Parts = std::vector<PromptPart>;
 
--- a/tests/unit/forward_refusal_pause_test.cc
+++ b/tests/unit/forward_refusal_pause_test.cc
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "balancing/refusal_pause.h"
 #include "core/random_source.h"
-#include "forward/refusal_pause.h"
 #include "support/forwarder_fixture.h"
 
 // Included last because its macros break the headers of Abseil.
@@ -17,8 +17,8 @@
 
 using namespace std::chrono_literals;
 using namespace wagtailwind;  // NOLINT(google-build-using-namespace)
-using forward::ParsePauseTime;
-using forward::RefusalPause;
+using balancing::ParsePauseTime;
+using balancing::RefusalPause;
 using forward::RequestKind;
 using testing::AnswerOk;
 using testing::ForwarderFixture;
--- a/tests/unit/forward_traffic_share_test.cc
+++ b/tests/unit/forward_traffic_share_test.cc
@@ -1,10 +1,10 @@
-#include "forward/traffic_share.h"
+#include "balancing/traffic_share.h"
 #include "requests/retry_budget.h"
 
 // Included last because its macros break the headers of Abseil.
 #include <criterion/criterion.h>
 
-using wagtailwind::forward::TrafficShare;
+using wagtailwind::balancing::TrafficShare;
 using wagtailwind::requests::RetryBudget;
 
 namespace {
