Leave a margin for the randomness of loads below the tolerated load

The logs show that their routers believed loads of 6 to 9 where 10 to 13 requests ran: reports are about 5 s old at 46 routers, the bound allows a mean load at which a quarter of the arrivals finds more than is tolerated, and after a burst the believed mean falls later than the load. Change: a prompt leaves its endpoint if the load plus two standard deviations of its estimate exceeds what is tolerated by the newest reports. Prompts of 5,000 shared tokens and more, which are expensive to process again, leave without the deviations. With few routers, reports are new and the margin is small.

--- a/src/balancing/endpoint_ranking.cc
+++ b/src/balancing/endpoint_ranking.cc
@@ -22,6 +22,17 @@
 constexpr LoadBound kLongPromptBound{1.8, 2.5};
 constexpr LoadBound kShortPromptBound{1.5, 1.5};
 
+// The load that the platform tolerates. Estimates of the load of an endpoint are seconds old in a
+// large fleet, so an endpoint whose mean load is at the bound exceeds this load a part of the time.
+// At a low mean that part is a quarter.
+constexpr LoadBound kToleratedLoad{2.0, 3.0};
+
+// Standard deviations of the estimate by which a load stays below the tolerated one. A prompt that
+// is expensive to process again moves only if its endpoint is likely to be above.
+constexpr double kDeviations = 2.0;
+constexpr double kExpensivePromptDeviations = 0.0;
+constexpr std::uint64_t kExpensivePromptTokens = 5'000;
+
 // Factor on the bounds while prompts return to endpoints whose request limits have ended: all
 // routers send to them at the same time, before their reports show it.
 constexpr double kReturnBoundFactor = 0.6;
@@ -65,6 +76,8 @@
 struct Candidate {
   const EndpointPtr* endpoint;
   double load;
+  /// Standard deviation of the load.
+  double deviation;
 };
 
 struct Scored {
@@ -151,6 +164,8 @@
   double own = 0;
   /// From the last reports.
   TypicalLoad typical;
+  /// Mean load by the newest reports only, which follows a fall of the load at once.
+  double newest_mean = 0;
 };
 
 PoolLoad MeasurePool(std::span<const EndpointPtr> endpoints, std::size_t other_routers) {
@@ -168,6 +183,10 @@
   if (reported > 0) {
     pool.typical.others = others_total / static_cast<double>(reported);
   }
+  if (!endpoints.empty()) {
+    pool.newest_mean =
+        endpoints.front()->load.NewestReports() + pool.own / static_cast<double>(endpoints.size());
+  }
   return pool;
 }
 
@@ -200,7 +219,9 @@
     if (!CanServe(*endpoint, request)) {
       continue;
     }
-    const Candidate candidate{.endpoint = &endpoint, .load = endpoint->load.Requests(now, typical)};
+    const Candidate candidate{.endpoint = &endpoint,
+                              .load = endpoint->load.Requests(now, typical),
+                              .deviation = endpoint->load.Deviation(now, typical)};
     total_load += candidate.load;
     found.total_failure_rate += endpoint->health.FailureRate(now);
     found.oldest = std::min(found.oldest, endpoint->record.started_at);
@@ -268,6 +289,11 @@
       [now](const Candidate& candidate) { return (*candidate.endpoint)->load.IsReturning(now); });
   const double bound =
       (limits.factor * mean + limits.slack) * (is_returning ? kReturnBoundFactor : 1.0);
+  const double deviations = request.prompt && request.prompt->tokens >= kExpensivePromptTokens
+                                ? kExpensivePromptDeviations
+                                : kDeviations;
+  const double tolerated =
+      kToleratedLoad.factor * std::min(mean, pool.newest_mean) + kToleratedLoad.slack;
   const auto yields = [&](const Endpoint& endpoint, double load) {
     return has_limit_left && !endpoint.quota.limit() &&
            load > std::max(mean, kBusyFraction * endpoint.record.slots);
@@ -279,7 +305,7 @@
   scored.reserve(candidates.size());
   BestEndpoint preferred;
   BestEndpoint preferred_old;
-  for (const auto& [candidate, load] : candidates) {
+  for (const auto& [candidate, load, deviation] : candidates) {
     const EndpointPtr& endpoint = *candidate;
     double score = 0;
     if (request.prompt) {
@@ -297,8 +323,9 @@
         endpoint->health.IsUnresponsive(now) ||
         endpoint->health.FailureRate(now) > kFailureFactor * mean_failure_rate + kFailureRateSlack;
     const bool overloaded =
-        request.prompt && (load > bound || yields(*endpoint, load) ||
-                           endpoint->pace.Mean(now).value_or(slow_interval) > slow_interval);
+        request.prompt &&
+        (load > bound || load + deviations * deviation > tolerated || yields(*endpoint, load) ||
+         endpoint->pace.Mean(now).value_or(slow_interval) > slow_interval);
     const int tier = failing ? 2 : overloaded ? 1 : 0;
     const double cost =
         request.prompt && tier == 0 ? -score : LoadCost(*endpoint, request, load, random);
--- a/src/balancing/load_estimate.cc
+++ b/src/balancing/load_estimate.cc
@@ -22,6 +22,10 @@
 // Added to both averages of a ratio, which says little while the endpoints are almost idle.
 constexpr double kIdleLoad = 1.0;
 
+// Time in which most of the requests behind a report have ended. After it, the number of the others
+// varies around its estimate like that of a Poisson process.
+constexpr std::chrono::duration<double> kTurnoverTime{2.0};
+
 // Shape of the gamma distribution of the endpoints' loads: some prompts are much more popular than
 // others. With a larger one, the requests of this router would say less of those of the others.
 constexpr double kPopularityShape = 2.0;
@@ -96,4 +100,13 @@
   return m_own + expected + (others - expected) * std::exp(-age / kDecayTime);
 }
 
+double LoadEstimate::Deviation(SteadyTime now, const TypicalLoad& typical) const noexcept {
+  if (!m_reported) {
+    return 0;
+  }
+  const std::chrono::duration<double> age = now - m_reported_at;
+  const double others = std::max(0.0, Requests(now, typical) - m_own);
+  return std::sqrt(others * (1 - std::exp(-age / kTurnoverTime)));
+}
+
 }  // namespace wagtailwind::balancing
--- a/src/balancing/load_estimate.h
+++ b/src/balancing/load_estimate.h
@@ -77,6 +77,13 @@
   /// `typical`; an old report decays towards that.
   [[nodiscard]] double Requests(SteadyTime now, const TypicalLoad& typical = {}) const noexcept;
 
+  /// \brief Returns the standard deviation of the estimate: requests of other routers have come and
+  /// gone since the last report. 0 before the first report.
+  [[nodiscard]] double Deviation(SteadyTime now, const TypicalLoad& typical) const noexcept;
+
+  /// \brief Returns the average of the newest reports of all endpoints of the service.
+  [[nodiscard]] double NewestReports() const noexcept { return m_average->value(); }
+
   /// \brief Returns the requests of other routers at the last report, reduced in the proportion in
   /// which the load of the pool has fallen since; empty if there is no report.
   [[nodiscard]] std::optional<double> ReportedOthers() const noexcept;
