--- a/src/balancing/availability.h
+++ b/src/balancing/availability.h
@@ -1,11 +1,15 @@
 #ifndef WAGTAILWIND_BALANCING_AVAILABILITY_H_
 #define WAGTAILWIND_BALANCING_AVAILABILITY_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string_view>
 
+#include "core/ids.h"
+
 namespace wagtailwind::balancing {
 
 /// \brief Why an endpoint takes no request now.
@@ -27,6 +31,12 @@
 /// \brief Returns the reason as it stands in logs.
 [[nodiscard]] std::string_view ToText(Unavailability reason) noexcept;
 
+/// \brief Returns whether the list has the zone.
+[[nodiscard]] inline bool Contains(std::span<const AvailabilityZoneName> zones,
+                                   const AvailabilityZoneName& zone) noexcept {
+  return std::find(zones.begin(), zones.end(), zone) != zones.end();
+}
+
 /// \brief Whether an endpoint takes a request now.
 struct Availability {
   Unavailability reason = Unavailability::kNone;
--- a/src/balancing/endpoint_ranking.cc
+++ b/src/balancing/endpoint_ranking.cc
@@ -93,7 +93,7 @@
   if (!endpoint.usable || endpoint.evacuated) {
     return false;
   }
-  if (request.allowed_zones && !request.allowed_zones->contains(endpoint.record.zone)) {
+  if (request.allowed_zones && !Contains(*request.allowed_zones, endpoint.record.zone)) {
     return false;
   }
   if (request.max_connections > 0 && endpoint.connections >= request.max_connections) {
--- a/src/balancing/endpoint_ranking.h
+++ b/src/balancing/endpoint_ranking.h
@@ -5,7 +5,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <span>
 #include <vector>
 
@@ -24,7 +23,7 @@
   /// Model that must serve the request; empty means any.
   ModelName model;
   /// Availability zones in which the request may run; empty means any.
-  std::optional<std::set<AvailabilityZoneName>> allowed_zones;
+  std::optional<std::vector<AvailabilityZoneName>> allowed_zones;
   /// Availability zone of the router.
   AvailabilityZoneName zone;
   /// Current wall-clock time, from which the age of endpoints is computed.
--- a/src/balancing/endpoint_registry.cc
+++ b/src/balancing/endpoint_registry.cc
@@ -58,7 +58,7 @@
     endpoint->record.draining = record.draining || HasAnnouncedLeaving(record);
     endpoint->load = LoadEstimate(average);
     endpoint->usable = !endpoint->record.draining;
-    endpoint->evacuated = m_evacuated_zones.contains(record.zone);
+    endpoint->evacuated = Contains(m_evacuated_zones, record.zone);
     m_entries.emplace(record.name.value(), Entry{.endpoint = std::move(endpoint)});
     m_lists_outdated = true;
     return;
@@ -75,7 +75,7 @@
   endpoint.record.draining = draining;
   if (changed) {
     endpoint.usable = endpoint.usable && !draining;
-    endpoint.evacuated = m_evacuated_zones.contains(record.zone);
+    endpoint.evacuated = Contains(m_evacuated_zones, record.zone);
     m_lists_outdated = true;
   }
 }
@@ -174,10 +174,10 @@
   return std::find(m_leaving.begin(), m_leaving.end(), process) != m_leaving.end();
 }
 
-void EndpointRegistry::SetEvacuatedZones(std::set<AvailabilityZoneName> zones) {
+void EndpointRegistry::SetEvacuatedZones(std::vector<AvailabilityZoneName> zones) {
   m_evacuated_zones = std::move(zones);
   for (auto& [name, entry] : m_entries) {
-    entry.endpoint->evacuated = m_evacuated_zones.contains(entry.endpoint->record.zone);
+    entry.endpoint->evacuated = Contains(m_evacuated_zones, entry.endpoint->record.zone);
   }
   m_lists_outdated = true;
 }
--- a/src/balancing/endpoint_registry.h
+++ b/src/balancing/endpoint_registry.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -55,9 +54,9 @@
   bool OnLeaving(Endpoint& endpoint);
 
   /// \brief Sets the availability zones whose endpoints get no requests.
-  void SetEvacuatedZones(std::set<AvailabilityZoneName> zones);
+  void SetEvacuatedZones(std::vector<AvailabilityZoneName> zones);
 
-  [[nodiscard]] const std::set<AvailabilityZoneName>& EvacuatedZones() const noexcept {
+  [[nodiscard]] const std::vector<AvailabilityZoneName>& EvacuatedZones() const noexcept {
     return m_evacuated_zones;
   }
 
@@ -99,7 +98,7 @@
 
   std::function<void(const EndpointPtr&)> m_on_removed;
   std::map<std::string, Entry, std::less<>> m_entries;
-  std::set<AvailabilityZoneName> m_evacuated_zones;
+  std::vector<AvailabilityZoneName> m_evacuated_zones;
   /// The newest announcements, the oldest first.
   std::deque<LeavingProcess> m_leaving;
   /// By service.
--- a/src/forward/evacuation_follower.cc
+++ b/src/forward/evacuation_follower.cc
@@ -1,7 +1,7 @@
 #include "forward/evacuation_follower.h"
 
-#include <set>
 #include <utility>
+#include <vector>
 
 #include "core/mutant.h"
 
@@ -16,21 +16,21 @@
 
 void EvacuationFollower::OnSnapshot(const std::vector<platform::KeyValueItem>& items,
                                     BootTime /*valid_as_of*/) {
-  std::set<AvailabilityZoneName> zones;
+  std::vector<AvailabilityZoneName> zones;
   for (const platform::KeyValueItem& item : items) {
-    zones.insert(ZoneOf(item));
+    zones.push_back(ZoneOf(item));
   }
   m_context.SetEvacuatedZones(std::move(zones));
 }
 
 void EvacuationFollower::OnChanges(const std::vector<platform::KeyValueItem>& changes,
                                    BootTime /*valid_as_of*/) {
-  std::set<AvailabilityZoneName> zones = m_context.endpoints.EvacuatedZones();
+  std::vector<AvailabilityZoneName> zones = m_context.endpoints.EvacuatedZones();
   for (const platform::KeyValueItem& change : changes) {
-    if (change.deleted) {
-      zones.erase(ZoneOf(change));
-    } else if (!IsMutantEnabled("forwarder_ignores_evacuations")) {
-      zones.insert(ZoneOf(change));
+    AvailabilityZoneName zone = ZoneOf(change);
+    std::erase(zones, zone);
+    if (!change.deleted && !IsMutantEnabled("forwarder_ignores_evacuations")) {
+      zones.push_back(std::move(zone));
     }
   }
   m_context.SetEvacuatedZones(std::move(zones));
--- a/src/forward/forward_context.cc
+++ b/src/forward/forward_context.cc
@@ -59,26 +59,27 @@
   }
 }
 
-void ForwardContext::SetEvacuatedZones(std::set<AvailabilityZoneName> zones) {
-  const std::set<AvailabilityZoneName> before = endpoints.EvacuatedZones();
+void ForwardContext::SetEvacuatedZones(std::vector<AvailabilityZoneName> zones) {
+  const std::vector<AvailabilityZoneName> before = endpoints.EvacuatedZones();
   if (zones == before) {
     return;
   }
   endpoints.SetEvacuatedZones(std::move(zones));
-  const std::set<AvailabilityZoneName>& now_evacuated = endpoints.EvacuatedZones();
+  const std::vector<AvailabilityZoneName>& now_evacuated = endpoints.EvacuatedZones();
   for (const AvailabilityZoneName& zone_name : now_evacuated) {
-    if (!before.contains(zone_name)) {
+    if (!balancing::Contains(before, zone_name)) {
       Log(kZoneEvacuated, {{"zone", zone_name.value()}});
     }
   }
   for (const AvailabilityZoneName& zone_name : before) {
-    if (!now_evacuated.contains(zone_name)) {
+    if (!balancing::Contains(now_evacuated, zone_name)) {
       Log(kZoneRestored, {{"zone", zone_name.value()}});
     }
   }
   endpoints.ForEach([this, &before](balancing::Endpoint& endpoint) {
     const ServiceSpec* service = FindService(endpoint.record.service);
-    if (service != nullptr && !endpoint.evacuated && before.contains(endpoint.record.zone)) {
+    if (service != nullptr && !endpoint.evacuated &&
+        balancing::Contains(before, endpoint.record.zone)) {
       SetCold(endpoint, service->cold_time);
     }
   });
@@ -148,7 +149,7 @@
       {.name = self, .zone = zone}, routers);
 }
 
-std::optional<std::set<AvailabilityZoneName>> ForwardContext::HomeZones(
+std::optional<std::vector<AvailabilityZoneName>> ForwardContext::HomeZones(
     std::span<const RegionName> route_homes, std::span<const RegionName> organisation_homes) const {
   if (route_homes.empty() && organisation_homes.empty()) {
     return std::nullopt;
@@ -156,10 +157,10 @@
   const auto is_home = [](std::span<const RegionName> homes, const RegionName& region) {
     return homes.empty() || std::find(homes.begin(), homes.end(), region) != homes.end();
   };
-  std::set<AvailabilityZoneName> zones;
-  for (const auto& [zone_name, region] : regions) {
-    if (is_home(route_homes, region) && is_home(organisation_homes, region)) {
-      zones.insert(zone_name);
+  std::vector<AvailabilityZoneName> zones;
+  for (const settings::ZoneRegion& entry : regions) {
+    if (is_home(route_homes, entry.region) && is_home(organisation_homes, entry.region)) {
+      zones.push_back(entry.zone);
     }
   }
   return zones;
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -49,7 +48,7 @@
   const WireNames& names;
   settings::ForwarderBounds bounds;
   /// Region of each availability zone.
-  std::map<AvailabilityZoneName, RegionName> regions;
+  std::vector<settings::ZoneRegion> regions;
   AvailabilityZoneName zone;
   /// Name of this router.
   InstanceName self;
@@ -92,7 +91,7 @@
 
   /// \brief Sets the availability zones that the operators have evacuated. Endpoints of a zone that
   /// is taken back may have become cold meanwhile.
-  void SetEvacuatedZones(std::set<AvailabilityZoneName> zones);
+  void SetEvacuatedZones(std::vector<AvailabilityZoneName> zones);
 
   /// \brief The endpoint is cold for at least `time` from now on.
   void SetCold(balancing::Endpoint& endpoint, std::chrono::nanoseconds time);
@@ -105,7 +104,7 @@
 
   /// \brief Returns the availability zones in which a request may run whose route and organisation
   /// have these homes; empty if they have none.
-  [[nodiscard]] std::optional<std::set<AvailabilityZoneName>> HomeZones(
+  [[nodiscard]] std::optional<std::vector<AvailabilityZoneName>> HomeZones(
       std::span<const RegionName> route_homes,
       std::span<const RegionName> organisation_homes) const;
 
--- a/src/settings/forwarder_settings.cc
+++ b/src/settings/forwarder_settings.cc
@@ -42,10 +42,11 @@
   return settings;
 }
 
-std::map<AvailabilityZoneName, RegionName> ReadRegions(Section section) {
-  std::map<AvailabilityZoneName, RegionName> regions;
+std::vector<ZoneRegion> ReadRegions(Section section) {
+  std::vector<ZoneRegion> regions;
   for (const std::string& zone : section.Keys()) {
-    regions.emplace(zone, section.RequiredText(zone));
+    regions.push_back(
+        {.zone = AvailabilityZoneName(zone), .region = RegionName(section.RequiredText(zone))});
   }
   return regions;
 }
--- a/src/settings/forwarder_settings.h
+++ b/src/settings/forwarder_settings.h
@@ -3,7 +3,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -52,6 +51,12 @@
   FeatureMode admission = FeatureMode::kAuto;
 };
 
+/// \brief The region that an availability zone belongs to.
+struct ZoneRegion {
+  AvailabilityZoneName zone;
+  RegionName region;
+};
+
 /// \brief All settings of a forwarder.
 struct ForwarderSettings {
   InstanceName instance;
@@ -68,8 +73,8 @@
   BalancingSettings balancing;
   /// Names of the sets of rules that the platform says are in force.
   std::vector<std::string> rule_sets;
-  /// Region of each availability zone.
-  std::map<AvailabilityZoneName, RegionName> regions;
+  /// Regions of the availability zones.
+  std::vector<ZoneRegion> regions;
   /// Memory of the process in bytes, from which the limits of its buffers are derived.
   std::uint64_t memory_bytes = 128U << 20U;
   LogLevel log_level = LogLevel::kInfo;
--- a/tests/unit/settings_forwarder_test.cc
+++ b/tests/unit/settings_forwarder_test.cc
@@ -74,8 +74,8 @@
   cr_assert(settings.balancing.admission == wagtailwind::settings::FeatureMode::kOff);
   cr_assert_eq(settings.rule_sets.size(), 2);
   cr_assert_eq(settings.regions.size(), 2);
-  cr_assert_eq(settings.regions.at(wagtailwind::AvailabilityZoneName("zone-2")).value(),
-               std::string("region-1"));
+  cr_assert_eq(settings.regions.at(1).zone.value(), std::string("zone-2"));
+  cr_assert_eq(settings.regions.at(1).region.value(), std::string("region-1"));
 }
 
 // Guards against a forwarder that starts from a faulty file with other bounds than its operators
