Read the pace in the load reports of endpoints

Cause: endpoints of uneven pools report how long work takes on their machine as a fourth figure of the load header, which was ignored. Change: LoadReport has an optional pace, as a multiple of the usual time. A malformed one, or one outside of 1 to 10,000 percent, is left out, and the other three figures are used.

--- a/src/balancing/load_estimate.h
+++ b/src/balancing/load_estimate.h
@@ -16,6 +16,9 @@
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   std::uint32_t slots = 0;
+  /// How long work takes on the endpoint's machine, as a multiple of the usual time; empty if the
+  /// endpoint does not report it.
+  std::optional<double> pace{};
 };
 
 /// \brief Moving average of the load reports of all endpoints of a service, as requests of other
--- a/src/forward/header_rules.cc
+++ b/src/forward/header_rules.cc
@@ -39,6 +39,20 @@
   return whole ? std::optional(number) : std::nullopt;
 }
 
+// Range of paces in percent. A machine outside of it does not work or does not measure.
+constexpr double kMinPacePercent = 1;
+constexpr double kMaxPacePercent = 10'000;
+
+constexpr double kPercent = 100;
+
+/// Parses a pace in percent as a multiple of the usual time; empty if it is malformed.
+std::optional<double> ParsePace(std::string_view text) noexcept {
+  const auto percent = ParseNumber<double>(text);
+  // A comparison with NaN is false.
+  const bool in_range = percent && *percent >= kMinPacePercent && *percent <= kMaxPacePercent;
+  return in_range ? std::optional(*percent / kPercent) : std::nullopt;
+}
+
 }  // namespace
 
 std::vector<http::Header> EndToEndHeaders(const std::vector<http::Header>& headers) {
@@ -96,7 +110,18 @@
   if (!running || !waiting || !slots) {
     return std::nullopt;
   }
-  return balancing::LoadReport{.running = *running, .waiting = *waiting, .slots = *slots};
+  return balancing::LoadReport{.running = *running,
+                               .waiting = *waiting,
+                               .slots = *slots,
+                               .pace = ParsePace(PopListItem(text))};
+}
+
+bool HasMalformedPace(std::string_view text) noexcept {
+  constexpr int kFiguresBeforePace = 3;
+  for (int i = 0; i < kFiguresBeforePace; ++i) {
+    (void)PopListItem(text);
+  }
+  return !text.empty() && !ParsePace(PopListItem(text));
 }
 
 }  // namespace wagtailwind::forward
--- a/src/forward/header_rules.h
+++ b/src/forward/header_rules.h
@@ -26,10 +26,13 @@
 [[nodiscard]] std::optional<std::chrono::milliseconds> KeepAliveTimeout(
     std::string_view text) noexcept;
 
-/// \brief Parses a load field: running requests, waiting requests, and slots. Empty if it is
-/// malformed.
+/// \brief Parses a load field: running requests, waiting requests, slots, and optionally the pace
+/// in percent. Empty if one of the first three is malformed; a malformed pace is left out.
 [[nodiscard]] std::optional<balancing::LoadReport> ParseLoad(std::string_view text) noexcept;
 
+/// \brief Returns whether a load field has a pace that is malformed or out of range.
+[[nodiscard]] bool HasMalformedPace(std::string_view text) noexcept;
+
 }  // namespace wagtailwind::forward
 
 #endif  // WAGTAILWIND_FORWARD_HEADER_RULES_H_
--- a/tests/unit/forward_routing_test.cc
+++ b/tests/unit/forward_routing_test.cc
@@ -83,3 +83,20 @@
   cr_assert_eq(ParseLoad("3, 1,8")->waiting, 1);
   cr_assert_not(ParseLoad("3,1").has_value());
 }
+
+// Guards against losing the load for a malformed pace, and against a pace that no machine has.
+Test(header_rules, reads_the_pace_of_a_load_report) {
+  using namespace wagtailwind::forward;  // NOLINT(google-build-using-namespace)
+  cr_assert_eq(*ParseLoad("3,1,8,250")->pace, 2.5);
+  cr_assert_eq(*ParseLoad("3,1,8, 100 ")->pace, 1.0);
+  cr_assert_not(ParseLoad("3,1,8")->pace.has_value());
+  cr_assert_not(HasMalformedPace("3,1,8"));
+  cr_assert_not(HasMalformedPace("3,1,8,250"));
+  for (const char* text : {"3,1,8,", "3,1,8,fast", "3,1,8,0", "3,1,8,-100", "3,1,8,nan",
+                           "3,1,8,inf", "3,1,8,99999", "3,1,8,100%"}) {
+    cr_assert_eq(ParseLoad(text)->running, 3, "%s", text);
+    cr_assert_not(ParseLoad(text)->pace.has_value(), "%s", text);
+    // Lists may end with an empty item (RFC 9110, section 5.6.1).
+    cr_assert_eq(HasMalformedPace(text), std::string_view(text) != "3,1,8,", "%s", text);
+  }
+}
