Learn the speed of endpoints and the load that delays their requests

Calls go by load alone, also to slow endpoints. Change: PerformanceEstimate learns, per endpoint, the speed from reported paces, event gaps and calls, and the load that delays all. PromptCacheEstimate learns whether a prompt is probably cached. With these, calls go where the expected delay is lowest within the load bound, and long prompts that are probably not cached avoid endpoints that are slow now. Active by balancing.learned_performance; by default only for services whose endpoints report a pace.

--- a/src/balancing/endpoint.h
+++ b/src/balancing/endpoint.h
@@ -12,6 +12,7 @@
 #include "balancing/endpoint_health.h"
 #include "balancing/event_pace.h"
 #include "balancing/load_estimate.h"
+#include "balancing/performance_estimate.h"
 #include "balancing/refusal_pause.h"
 #include "balancing/request_limit.h"
 #include "core/clock.h"
@@ -47,6 +48,7 @@
   LoadEstimate load;
   EndpointHealth health;
   EventPace pace;
+  PerformanceEstimate performance;
   /// Limit of requests that the endpoint named in its last answer.
   RequestQuota quota;
   /// Time for which the endpoint wants no requests from this router.
--- a/src/balancing/endpoint_ranking.cc
+++ b/src/balancing/endpoint_ranking.cc
@@ -57,6 +57,10 @@
 // overloaded. Differences in load alone stay below this factor.
 constexpr double kSlowFactor = 2.0;
 
+// The same factor for long prompts with learned performance, which decides about endpoints that are
+// slow for a short time. A cached prompt stays at these; one that is slower has a fault.
+constexpr double kFaultyFactor = 4.0;
+
 // Endpoints that started within this time of the oldest one count as started together with it.
 constexpr std::chrono::seconds kSameStartWindow{5};
 
@@ -72,6 +76,26 @@
 // Part of its slots from which an endpoint is busy, so that its requests slow each other down.
 constexpr double kBusyFraction = 0.5;
 
+// Weight of the expected delay, in typical delays, against the load as a fraction of the slots.
+// With 3, bursts of calls to uneven endpoints are late as often as without learned performance.
+constexpr double kDelayWeight = 1.5;
+
+// An endpoint whose requests are expected to take this many times the typical time is slow now.
+// Readings that are older than half a second are too uncertain to exceed it.
+constexpr double kSlowNow = 1.5;
+
+// A long prompt leaves a slow endpoint if reading its shared parts there is expected to take this
+// many times as long as at a typical endpoint, where they are read for certain. Below 1, because a
+// read that stops other streams beyond their longest pause costs more than its time.
+constexpr double kMovePayoff = 0.7;
+
+// Probability that a preferred endpoint has the shared parts of a prompt, if nothing is known.
+constexpr double kUsuallyCached = 0.7;
+
+// Largest part of the endpoints within the load bound that a prompt avoids for their slowness. If
+// more are slow, the others could not take their prompts.
+constexpr double kMaxAvoidedShare = 0.5;
+
 /// An endpoint that can serve the request, and its load.
 struct Candidate {
   const EndpointPtr* endpoint;
@@ -86,6 +110,9 @@
   int tier;
   /// Lower is better.
   double cost;
+  /// Cost without learned performance.
+  double basic_cost = 0;
+  double load = 0;
 };
 
 bool CanServe(const Endpoint& endpoint, const RankingRequest& request) {
@@ -139,9 +166,9 @@
                     kMinNewWeight, 1.0);
 }
 
-/// Returns the mean time between events above which an endpoint counts as slow.
-std::chrono::duration<double> SlowEventInterval(std::span<const EndpointPtr> endpoints,
-                                                SteadyTime now) {
+/// Returns the median of the endpoints' mean times between events; empty if too few are known.
+std::optional<std::chrono::duration<double>> MedianEventInterval(
+    std::span<const EndpointPtr> endpoints, SteadyTime now) {
   std::vector<std::chrono::duration<double>> intervals;
   for (const EndpointPtr& endpoint : endpoints) {
     if (const auto pace = endpoint->pace.Mean(now)) {
@@ -151,11 +178,54 @@
   // With fewer values, the median may be that of the slow endpoint itself.
   constexpr std::size_t kMinIntervals = 3;
   if (intervals.size() < kMinIntervals) {
-    return std::chrono::duration<double>::max();
+    return std::nullopt;
   }
   const auto middle = intervals.begin() + static_cast<std::ptrdiff_t>(intervals.size() / 2);
   std::nth_element(intervals.begin(), middle, intervals.end());
-  return kSlowFactor * *middle;
+  return *middle;
+}
+
+/// Returns whether the ranking of a request uses learned performance.
+bool UsesLearnedPerformance(std::span<const EndpointPtr> endpoints, const RankingRequest& request) {
+  return request.learned_performance == LearnedPerformance::kOn ||
+         (request.learned_performance == LearnedPerformance::kIfPaceReported &&
+          std::any_of(endpoints.begin(), endpoints.end(),
+                      [](const EndpointPtr& endpoint) { return endpoint->performance.HasPace(); }));
+}
+
+TypicalPerformance MeasurePerformance(
+    std::span<const EndpointPtr> endpoints,
+    const std::optional<std::chrono::duration<double>>& event_interval, SteadyTime now) {
+  TypicalPerformance typical;
+  double total_pace = 0;
+  double with_pace = 0;
+  std::chrono::duration<double> total_call_time{0};
+  double with_calls = 0;
+  for (const EndpointPtr& endpoint : endpoints) {
+    if (endpoint->performance.HasPace()) {
+      total_pace += endpoint->performance.MeanPace(now, 1);
+      ++with_pace;
+    }
+    if (const auto call_time = endpoint->performance.MeanCallTime(now)) {
+      total_call_time += *call_time;
+      ++with_calls;
+    }
+  }
+  if (with_pace > 0) {
+    typical.pace = total_pace / with_pace;
+  }
+  if (with_calls > 0) {
+    typical.call_time = total_call_time / with_calls;
+  }
+  typical.event_gap = event_interval.value_or(std::chrono::duration<double>(0));
+  return typical;
+}
+
+/// Returns the expected time of work that is added to an endpoint with this load, in typical times.
+double ExpectedDelay(const Endpoint& endpoint, double load, const TypicalPerformance& typical,
+                     SteadyTime now) {
+  return endpoint.performance.Slowness(now, typical) *
+         endpoint.performance.Crowding(load + 1, endpoint.record.slots, now);
 }
 
 /// Requests in flight at the endpoints of a pool.
@@ -255,8 +325,48 @@
   return found;
 }
 
+/// Moves endpoints that are slow now behind the others, if the prompt is probably not cached there.
+void AvoidSlowEndpoints(std::vector<Scored>& scored, const RankingRequest& request,
+                        const BestEndpoint& preferred, const TypicalPerformance& typical,
+                        SteadyTime now) {
+  std::vector<Scored*> avoided;
+  std::size_t within_bound = 0;
+  for (Scored& candidate : scored) {
+    if (candidate.tier != 0) {
+      continue;
+    }
+    ++within_bound;
+    const Endpoint& endpoint = **candidate.endpoint;
+    const double delay = ExpectedDelay(endpoint, candidate.load, typical, now);
+    if (delay < kSlowNow) {
+      continue;
+    }
+    const bool is_preferred = preferred.Is(*candidate.endpoint);
+    const double cached = request.cached_prompts != nullptr
+                              ? request.cached_prompts->CachedProbability(
+                                    request.prompt->key, endpoint.record, is_preferred, now)
+                              : (is_preferred ? kUsuallyCached : 0);
+    if (delay * (1 - cached) > kMovePayoff) {
+      avoided.push_back(&candidate);
+    }
+  }
+  if (static_cast<double>(avoided.size()) <= kMaxAvoidedShare * static_cast<double>(within_bound)) {
+    for (Scored* candidate : avoided) {
+      candidate->tier = 1;
+    }
+  }
+}
+
+bool IsBefore(const Scored& left, const Scored& right) {
+  return left.tier != right.tier ? left.tier < right.tier : left.cost < right.cost;
+}
+
 }  // namespace
 
+bool IsLongPrompt(const SharedPrompt& prompt) noexcept {
+  return prompt.tokens >= kLongPromptTokens;
+}
+
 Ranking RankEndpoints(std::span<const EndpointPtr> endpoints, std::span<const EndpointPtr> draining,
                       const RankingRequest& request, SteadyTime now, RandomSource& random,
                       std::size_t limit) {
@@ -276,7 +386,7 @@
   const double min_new_weight = MinNewEndpointWeight(candidates.size() - new_count, new_count);
   const double mean = found.mean_load;
   const double mean_failure_rate = found.total_failure_rate / count;
-  const bool is_long = request.prompt && request.prompt->tokens >= kLongPromptTokens;
+  const bool is_long = request.prompt && IsLongPrompt(*request.prompt);
   const LoadBound& limits = is_long ? kLongPromptBound : kShortPromptBound;
   // While an endpoint with a limit has something left, a busy one that takes what the limited ones
   // can't gets no more than the mean. Otherwise the prompts of its own would leave the limits
@@ -299,8 +409,13 @@
            load > std::max(mean, kBusyFraction * endpoint.record.slots);
   };
   // Only requests with a prompt use the event interval.
+  const auto interval = request.prompt ? MedianEventInterval(endpoints, now) : std::nullopt;
+  if (UsesLearnedPerformance(endpoints, request)) {
+    ranking.performance = MeasurePerformance(endpoints, interval, now);
+  }
+  const double slow_factor = ranking.performance && is_long ? kFaultyFactor : kSlowFactor;
   const auto slow_interval =
-      request.prompt ? SlowEventInterval(endpoints, now) : std::chrono::duration<double>::max();
+      interval ? slow_factor * *interval : std::chrono::duration<double>::max();
   std::vector<Scored> scored;
   scored.reserve(candidates.size());
   BestEndpoint preferred;
@@ -326,19 +441,40 @@
         request.prompt &&
         (load > bound || load + deviations * deviation > tolerated || yields(*endpoint, load) ||
          endpoint->pace.Mean(now).value_or(slow_interval) > slow_interval);
-    const int tier = failing ? 2 : overloaded ? 1 : 0;
-    const double cost =
+    // Without learned performance, a request without a prompt goes to the least loaded endpoint
+    // anyway.
+    const bool above_tolerated =
+        !request.prompt && ranking.performance && load + deviation > tolerated - 1;
+    const int tier = failing ? 2 : overloaded || above_tolerated ? 1 : 0;
+    const double basic_cost =
         request.prompt && tier == 0 ? -score : LoadCost(*endpoint, request, load, random);
-    scored.push_back({.endpoint = &endpoint, .tier = tier, .cost = cost});
+    double cost = basic_cost;
+    if (!request.prompt && ranking.performance) {
+      cost += kDelayWeight * (ExpectedDelay(*endpoint, load, *ranking.performance, now) - 1);
+    }
+    scored.push_back({.endpoint = &endpoint,
+                      .tier = tier,
+                      .cost = cost,
+                      .basic_cost = basic_cost,
+                      .load = load});
+  }
+  const EndpointPtr* basic_first = nullptr;
+  if (ranking.performance) {
+    basic_first =
+        std::min_element(scored.begin(), scored.end(), [](const Scored& left, const Scored& right) {
+          return left.tier != right.tier ? left.tier < right.tier
+                                         : left.basic_cost < right.basic_cost;
+        })->endpoint;
+    if (is_long) {
+      AvoidSlowEndpoints(scored, request, preferred, *ranking.performance, now);
+    }
   }
   const std::size_t kept = std::min(limit, scored.size());
   std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(kept),
-                    scored.end(), [](const Scored& left, const Scored& right) {
-                      return left.tier != right.tier ? left.tier < right.tier
-                                                     : left.cost < right.cost;
-                    });
+                    scored.end(), IsBefore);
   const EndpointPtr& first = *scored.front().endpoint;
   ranking.at_home = preferred.Is(first);
+  ranking.avoided_delay = basic_first != nullptr && *basic_first != first;
   ranking.mean_load = mean;
   ranking.typical = pool.typical;
   ranking.own_load = pool.own;
--- a/src/balancing/endpoint_ranking.h
+++ b/src/balancing/endpoint_ranking.h
@@ -11,12 +11,21 @@
 
 #include "balancing/endpoint.h"
 #include "balancing/load_estimate.h"
+#include "balancing/performance_estimate.h"
 #include "balancing/prompt.h"
 #include "core/clock.h"
 #include "core/random_source.h"
 
 namespace wagtailwind::balancing {
 
+/// \brief Whether the ranking uses what was learned about the speeds of the endpoints.
+enum class LearnedPerformance : std::uint8_t {
+  kOff,
+  /// Once an endpoint of the service has reported its pace.
+  kIfPaceReported,
+  kOn,
+};
+
 /// \brief Properties of a request that determine the order of endpoints.
 struct RankingRequest {
   /// The prompt's shared parts; empty for requests without a prompt.
@@ -36,6 +45,9 @@
   std::size_t other_routers = 0;
   /// Maximum number of connections from this router to one endpoint; 0 means no limit.
   std::uint32_t max_connections = 0;
+  LearnedPerformance learned_performance = LearnedPerformance::kOff;
+  /// Which prompts are cached where; null: unknown.
+  const PromptCacheEstimate* cached_prompts = nullptr;
 };
 
 /// \brief Endpoints in the order in which to try them.
@@ -55,8 +67,16 @@
   /// Requests in flight at all endpoints of the service, from this router and from the others.
   double own_load = 0;
   double others_load = 0;
+  /// Typical performance of the pool; empty if the ranking did not use learned performance.
+  std::optional<TypicalPerformance> performance;
+  /// Whether another endpoint would be first without learned performance.
+  bool avoided_delay = false;
 };
 
+/// \brief Returns whether an engine takes longer than one batch step to process the shared parts of
+/// a prompt.
+[[nodiscard]] bool IsLongPrompt(const SharedPrompt& prompt) noexcept;
+
 /// \brief Orders the endpoints of a service for a request, best first, and omits those that can't
 /// serve it.
 ///
@@ -69,6 +89,10 @@
 /// are full, failing or overloaded come last, and those that have reached their request limit are
 /// omitted.
 ///
+/// With learned performance, requests without a prompt go to the endpoint with the lowest expected
+/// delay within the load bound, and long prompts whose shared parts are probably not cached avoid
+/// endpoints that are slow now: reading them there would stop the other streams.
+///
 /// `draining` lists endpoints that take no requests, but from which cached parts can be fetched.
 [[nodiscard]] Ranking RankEndpoints(std::span<const EndpointPtr> endpoints,
                                     std::span<const EndpointPtr> draining,
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "balancing/endpoint_registry.h"
+#include "balancing/performance_estimate.h"
 #include "balancing/prompt_quarantine.h"
 #include "balancing/request_cost.h"
 #include "balancing/traffic_share.h"
@@ -48,6 +49,7 @@
   MetricsRegistry& metrics;
   const WireNames& names;
   settings::ForwarderBounds bounds;
+  settings::BalancingSettings balancing;
   /// Region of each availability zone.
   std::map<AvailabilityZoneName, RegionName> regions;
   AvailabilityZoneName zone;
@@ -66,6 +68,8 @@
   /// Empty until the first configuration has been read.
   std::shared_ptr<const RoutingConfiguration> configuration;
   balancing::TrafficShare traffic_share;
+  /// By service: the endpoints that are expected to cache the shared parts of prompts.
+  std::map<std::string, balancing::PromptCacheEstimate, std::less<>> cached_prompts{};
   /// Costs of the requests by service.
   std::map<std::string, balancing::RequestCosts, std::less<>> request_costs;
   /// Retry budgets by service.
--- a/src/forward/forward_task.cc
+++ b/src/forward/forward_task.cc
@@ -45,6 +45,18 @@
 // Time to deliver the answer of a request that ended at its deadline.
 constexpr std::chrono::milliseconds kDeliveryTime = 100ms;
 
+balancing::LearnedPerformance ToLearnedPerformance(settings::FeatureMode mode) noexcept {
+  switch (mode) {
+    case settings::FeatureMode::kOn:
+      return balancing::LearnedPerformance::kOn;
+    case settings::FeatureMode::kOff:
+      return balancing::LearnedPerformance::kOff;
+    case settings::FeatureMode::kAuto:
+      break;
+  }
+  return balancing::LearnedPerformance::kIfPaceReported;
+}
+
 }  // namespace
 
 ForwardTask::ForwardTask(ForwardContext& context, CallerRequest request, ResponseSink& sink,
@@ -249,6 +261,8 @@
       balancing::ParseRequestCost(http::FindHeader(headers, m_context.names.token_counts))
           .value_or(0);
   ranking.is_costly = m_context.request_costs[m_service.value()].IsCostly(cost);
+  ranking.learned_performance = ToLearnedPerformance(m_context.balancing.learned_performance);
+  ranking.cached_prompts = &m_context.cached_prompts[m_service.value()];
   balancing::Ranking ranked =
       balancing::RankEndpoints(m_context.endpoints.Usable(m_service.value()),
                                m_context.endpoints.Draining(m_service.value()), ranking,
@@ -257,6 +271,13 @@
   m_at_home = ranked.at_home;
   m_mean_load = ranked.mean_load;
   m_typical_load = ranked.typical;
+  m_typical_performance = ranked.performance;
+  if (ranked.avoided_delay) {
+    m_context.metrics
+        .GetCounter(m_prompt ? "forward_delays_avoided_total{kind=\"prompt\"}"
+                             : "forward_delays_avoided_total{kind=\"call\"}")
+        .Add();
+  }
   m_context.traffic_share.OnRequest(ranked.own_load, ranked.others_load);
   if (spec != m_configuration->services.end() && spec->second.shares_cache) {
     m_cached_at = std::move(ranked.cached_at);
--- a/src/forward/forward_task.h
+++ b/src/forward/forward_task.h
@@ -237,6 +237,8 @@
   balancing::EndpointPtr m_cached_at;
   double m_mean_load = 0;
   balancing::TypicalLoad m_typical_load;
+  /// Empty if the endpoints were ranked without learned performance.
+  std::optional<balancing::TypicalPerformance> m_typical_performance;
 
   std::optional<router::RequestDecision> m_decision;
   /// Fires at the deadline; before the admission, polls for the first configuration.
--- a/src/forward/forward_task_answer.cc
+++ b/src/forward/forward_task_answer.cc
@@ -249,13 +249,22 @@
     return;
   }
   const SteadyTime now = m_context.clock.Now();
+  balancing::Endpoint& endpoint = *m_current.connection->endpoint;
   if (m_current.last_event_at) {
-    m_current.connection->endpoint->pace.OnGap(now - *m_current.last_event_at, now);
+    endpoint.pace.OnGap(now - *m_current.last_event_at, now);
+    endpoint.performance.OnEventGap(now - *m_current.last_event_at,
+                                    endpoint.load.Requests(now, m_typical_load),
+                                    endpoint.record.slots, now);
     m_context.metrics.GetDuration("forward_event_gap_seconds")
         .Record(now - *m_current.last_event_at);
   }
   if (!m_current.last_event_at && m_prompt) {
     m_context.quarantine.OnAnswerBegan(m_prompt->parts, now);
+    // Only long prompts at the endpoint that is expected to cache their parts tell whether it does.
+    if (m_at_home && m_current.number == 1 && balancing::IsLongPrompt(*m_prompt)) {
+      m_context.cached_prompts[m_service.value()].OnFirstEvent(m_prompt->key, endpoint.record,
+                                                               now - m_current.sent_at, now);
+    }
   }
   m_current.last_event_at = now;
   if (m_events == 0) {
@@ -311,6 +320,7 @@
   m_silence_timer.Cancel();
   EndpointConnection connection = std::move(*m_current.connection);
   m_current.connection.reset();
+  const double load = connection.endpoint->load.Requests(m_context.clock.Now(), m_typical_load);
   connection.endpoint->load.OnEnded();
   const balancing::EndpointPtr endpoint = connection.endpoint;
   if (reusable) {
@@ -326,6 +336,10 @@
     case AnswerKind::kEvents:
       CountAttempt("answered");
       endpoint->health.OnSuccess(now);
+      if (m_current.kind == AnswerKind::kBuffered && !m_prompt) {
+        // The load report of this answer is exact, unlike the estimate when the call began.
+        endpoint->performance.OnCall(now - m_current.sent_at, load, endpoint->record.slots, now);
+      }
       FinishAnswer();
       return;
     case AnswerKind::kOtherProcess:
--- a/src/forward/forward_task_attempts.cc
+++ b/src/forward/forward_task_attempts.cc
@@ -101,14 +101,17 @@
                         {"budget", m_context.RetryBudgetFor(m_service).Tokens()}});
     m_context.metrics.GetCounter("forward_retries_total").Add();
   }
-  Log(kAttemptStarted, {{"id", m_id},
-                        {"attempt", step.attempt},
-                        {"endpoint", endpoint->record.name.value()},
-                        {"load", endpoint->load.Requests(now, m_typical_load)},
-                        {"mean_load", m_mean_load},
-                        {"at_home", m_at_home ? 1 : 0},
-                        {"limit", endpoint->quota.limit().value_or(-1)},
-                        {"reused", m_current.connection->reused ? 1 : 0}});
+  Log(kAttemptStarted,
+      {{"id", m_id},
+       {"attempt", step.attempt},
+       {"endpoint", endpoint->record.name.value()},
+       {"load", endpoint->load.Requests(now, m_typical_load)},
+       {"mean_load", m_mean_load},
+       {"slowness",
+        m_typical_performance ? endpoint->performance.Slowness(now, *m_typical_performance) : -1},
+       {"at_home", m_at_home ? 1 : 0},
+       {"limit", endpoint->quota.limit().value_or(-1)},
+       {"reused", m_current.connection->reused ? 1 : 0}});
   m_current.connection->connection->Send(RequestText(endpoint), m_request.head.method == "HEAD",
                                          *this);
   RestartSilenceTimer();
--- a/src/forward/forward_task_head.cc
+++ b/src/forward/forward_task_head.cc
@@ -53,9 +53,23 @@
 }
 
 void ForwardTask::RecordLoadReport(const http1::MessageHead& head) {
-  const auto report = ParseLoad(http::FindHeader(head.headers, m_context.names.load));
-  if (report) {
-    m_current.connection->endpoint->load.OnReport(*report, m_context.clock.Now());
+  const std::string_view field = http::FindHeader(head.headers, m_context.names.load);
+  const auto report = ParseLoad(field);
+  if (!report) {
+    return;
+  }
+  balancing::Endpoint& endpoint = *m_current.connection->endpoint;
+  endpoint.load.OnReport(*report, m_context.clock.Now());
+  if (report->pace) {
+    endpoint.performance.OnPace(*report->pace, m_context.clock.Now());
+    m_context.metrics.GetCounter("forward_pace_reports_total{result=\"used\"}").Add();
+  } else if (HasMalformedPace(field)) {
+    m_context.metrics.GetCounter("forward_pace_reports_total{result=\"malformed\"}").Add();
+    if (endpoint.performance.OnMalformedPace()) {
+      Log(kPaceIgnored, {{"id", m_id},
+                         {"endpoint", endpoint.record.name.value()},
+                         {"value", field.substr(0, kMaxLoggedValue)}});
+    }
   }
 }
 
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -186,6 +186,7 @@
                 .metrics = metrics,
                 .names = adapter.Names(),
                 .bounds = settings.bounds,
+                .balancing = settings.balancing,
                 .regions = settings.regions,
                 .zone = settings.zone,
                 .self = settings.instance,
--- a/src/forward/log_events.h
+++ b/src/forward/log_events.h
@@ -45,6 +45,7 @@
 inline constexpr LogEvent kZoneEvacuated{2242, LogLevel::kInfo, "zone_evacuated"};
 inline constexpr LogEvent kZoneRestored{2243, LogLevel::kInfo, "zone_restored"};
 inline constexpr LogEvent kEndpointCold{2244, LogLevel::kInfo, "endpoint_cold"};
+inline constexpr LogEvent kPaceIgnored{2250, LogLevel::kWarn, "pace_ignored"};
 
 }  // namespace wagtailwind::forward
 
--- a/tests/unit/mutants_test.sh
+++ b/tests/unit/mutants_test.sh
@@ -22,6 +22,9 @@
   [forwarder_retries_at_closed_endpoints]=forward_evacuation/gets_no_retry_and_no_continued_stream
   [forwarder_ignores_cold_endpoints]=forward_evacuation/leaves_cold_endpoints_that_take_few_requests
   [forwarder_cold_rate_per_router]=cold_start/keeps_the_limit_at_all_sizes_of_a_fleet
+  [forwarder_never_forgets_speeds]=performance_estimate/forgets_a_reading_within_two_seconds
+  [forwarder_ignores_paces]=performance_estimate/sends_calls_where_the_delay_is_low
+  [forwarder_takes_unknown_pace_as_fast]=performance_estimate/takes_an_unknown_pace_as_typical
   [forwarder_closes_new_connections]=forward_stop/answers_the_first_request_of_a_new_connection
 )
 passed=0
