--- a/src/balancing/performance_estimate.cc
+++ b/src/balancing/performance_estimate.cc
@@ -86,7 +86,8 @@
 }
 
 double DecayingMean::Weight(SteadyTime now) const noexcept {
-  return m_weight * DecayFactor(m_updated, now, m_time_constant);
+  // Most load classes are empty, and each endpoint of a pool is asked for all of them.
+  return m_weight > 0 ? m_weight * DecayFactor(m_updated, now, m_time_constant) : 0;
 }
 
 double DecayingMean::Value(SteadyTime now, double prior, double prior_weight) const noexcept {
