Sample the effect of the load on events twice a second

Cause: a class of load that was seen only in one slow phase of a machine was taken for an effect of the load, so prompts moved from engines that do not slow down with it. Change: one gap in 0.5 s counts for the effect of the load.

--- a/src/balancing/performance_estimate.cc
+++ b/src/balancing/performance_estimate.cc
@@ -45,6 +45,10 @@
 // Values needed in a load class, reduced by their age.
 constexpr double kMinClassWeight = 3;
 
+// Least time between gaps that count for the effect of the load: all gaps in one slow phase of the
+// machine say the same.
+constexpr Seconds kLoadSampleTime{0.5};
+
 // Ratio to the time at low load from which the load delays requests. Smaller ratios occur by chance
 // and with the size of an engine's batch.
 constexpr double kDelayingRatio = 1.5;
@@ -110,7 +114,10 @@
   m_gaps[m_next_gap] = gap;
   m_gaps_at[m_next_gap] = now;
   m_next_gap = (m_next_gap + 1) % kRecentGaps;
-  RecordAtLoad(Seconds(gap).count(), load, slots, now);
+  if (now - m_gap_at_load_at >= kLoadSampleTime) {
+    m_gap_at_load_at = now;
+    RecordAtLoad(Seconds(gap).count(), load, slots, now);
+  }
 }
 
 void PerformanceEstimate::OnCall(std::chrono::nanoseconds duration, double load,
--- a/src/balancing/performance_estimate.h
+++ b/src/balancing/performance_estimate.h
@@ -125,6 +125,8 @@
   std::array<std::chrono::duration<double>, kRecentGaps> m_gaps{};
   std::array<SteadyTime, kRecentGaps> m_gaps_at{};
   std::size_t m_next_gap = 0;
+  /// Time of the last gap that counted for the effect of the load.
+  SteadyTime m_gap_at_load_at{};
   bool m_had_malformed_pace = false;
 };
 
