Test announced leaving and named pauses on the ways that had no test

Cause: for a retry that waits for its timer, a request that waits for its connection and the probe of the circuit breaker, only reading the code showed that they keep to an announcement or a pause that arrives meanwhile.

--- a/tests/unit/forward_leaving_test.cc
+++ b/tests/unit/forward_leaving_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "support/forwarder_fixture.h"
+#include "support/late_refusal.h"
 
 // Included last because its macros break the headers of Abseil.
 #include <criterion/criterion.h>
@@ -133,6 +134,28 @@
   }
 }
 
+// Guards against a retry that waits for its timer and starts at an endpoint that has announced
+// meanwhile that it leaves, on a kept connection or a new one.
+Test(forward_leaving, gets_no_delayed_step) {
+  cr_assert_eq(testing::ArrivalsOfDelayedStep(""), 1, "the retry must arrive without a reason");
+  cr_assert_eq(testing::ArrivalsOfDelayedStep(kLeaving), 0);
+}
+
+// Guards against sending a request on a connection that opens after the endpoint has announced that
+// it leaves.
+Test(forward_leaving, gets_no_request_on_a_connection_that_was_being_opened) {
+  cr_assert_eq(testing::ArrivalsOnOpenedConnection(""), 1);
+  cr_assert_eq(testing::ArrivalsOnOpenedConnection(kLeaving), 0);
+}
+
+// Guards against the probe of the circuit breaker at an endpoint that leaves.
+Test(forward_leaving, gets_no_probe, .timeout = 30) {
+  cr_assert_gt(testing::ArrivalsAfterFailures("").early, 0);
+  const testing::ProbeArrivals arrivals = testing::ArrivalsAfterFailures(kLeaving);
+  cr_assert_eq(arrivals.early, 0);
+  cr_assert_eq(arrivals.late, 0);
+}
+
 // Guards against requests that wait until their deadline, or that are sent for lack of another
 // endpoint, when all endpoints of a service leave.
 Test(forward_leaving, of_all_endpoints_refuses_requests_at_once) {
--- a/tests/unit/forward_refusal_pause_test.cc
+++ b/tests/unit/forward_refusal_pause_test.cc
@@ -9,6 +9,7 @@
 #include "balancing/refusal_pause.h"
 #include "core/random_source.h"
 #include "support/forwarder_fixture.h"
+#include "support/late_refusal.h"
 
 // Included last because its macros break the headers of Abseil.
 #include <criterion/criterion.h>
@@ -212,3 +213,25 @@
   }
   cr_assert_eq(endpoint.requests, 5);
 }
+
+// Guards against a retry that waits for its timer and starts at an endpoint that has meanwhile
+// named a time in which it wants no requests, on a kept connection or a new one.
+Test(forward_refusal_pause, holds_for_a_delayed_step) {
+  cr_assert_eq(testing::ArrivalsOfDelayedStep(""), 1, "the retry must arrive without a reason");
+  cr_assert_eq(testing::ArrivalsOfDelayedStep("Retry-After: 5\r\n"), 0);
+}
+
+// Guards against sending a request on a connection that opens after the endpoint has named a time.
+Test(forward_refusal_pause, holds_for_a_connection_that_was_being_opened) {
+  cr_assert_eq(testing::ArrivalsOnOpenedConnection(""), 1);
+  cr_assert_eq(testing::ArrivalsOnOpenedConnection("Retry-After: 5\r\n"), 0);
+}
+
+// Guards against the probe of the circuit breaker during the pause, and against a breaker that
+// admits none after it.
+Test(forward_refusal_pause, holds_for_the_probe_of_the_breaker, .timeout = 30) {
+  cr_assert_gt(testing::ArrivalsAfterFailures("").early, 0);
+  const testing::ProbeArrivals arrivals = testing::ArrivalsAfterFailures("Retry-After: 1.5\r\n");
+  cr_assert_eq(arrivals.early, 0);
+  cr_assert_gt(arrivals.late, 0);
+}
