Check by mutants that announcements and pauses are kept

Cause: the suites for announced leaving and named pauses had one mutant each, which disables the whole mechanism. Change: mutants for an announcement that is read from 2xx only, forgotten when the entry is renewed, or kept for the next process of that name; for a probe during a pause; for a kept connection that is used once more; and for a request that is sent on a connection that has just opened without asking again.

--- a/src/balancing/endpoint.cc
+++ b/src/balancing/endpoint.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/mutant.h"
+
 namespace wagtailwind::balancing {
 
 Availability Endpoint::CheckClosed(SteadyTime now) const noexcept {
@@ -21,6 +23,10 @@
   if (const Availability closed = CheckClosed(now); !closed.wait) {
     return closed;
   }
+  if (health.state() != requests::BreakerState::kClosed &&
+      IsMutantEnabled("forwarder_sends_probes_during_pauses")) {
+    return {};
+  }
   const auto wait = std::max({pause.WaitTime(now), quota.WaitTime(now), cold.WaitTime(now)});
   // After a pause, requests return gradually.
   if (!pause.IsAvailable(now)) {
--- a/src/balancing/endpoint_registry.cc
+++ b/src/balancing/endpoint_registry.cc
@@ -65,6 +65,11 @@
   }
   Endpoint& endpoint = *found->second.endpoint;
   found->second.grace_until.reset();
+  if (IsMutantEnabled("forwarder_forgets_leaving_with_the_entry") && !record.draining) {
+    endpoint.record.draining = false;
+    endpoint.usable = true;
+    m_lists_outdated = true;
+  }
   // A draining process never accepts new work again, so an older entry must not make it usable.
   const bool draining = (endpoint.record.draining || record.draining) &&
                         !IsMutantEnabled("forwarder_ignores_draining");
@@ -171,7 +176,10 @@
 bool EndpointRegistry::HasAnnouncedLeaving(const EndpointRecord& record) const {
   const LeavingProcess process{
       .name = record.name, .incarnation = record.incarnation, .address = record.address};
-  return std::find(m_leaving.begin(), m_leaving.end(), process) != m_leaving.end();
+  return std::any_of(m_leaving.begin(), m_leaving.end(), [&process](const LeavingProcess& leaving) {
+    return leaving == process || (leaving.name == process.name &&
+                                  IsMutantEnabled("forwarder_keeps_leaving_for_the_next_process"));
+  });
 }
 
 void EndpointRegistry::SetEvacuatedZones(std::set<AvailabilityZoneName> zones) {
--- a/src/forward/forward_task_answer.cc
+++ b/src/forward/forward_task_answer.cc
@@ -62,7 +62,8 @@
 
 bool ForwardTask::UpdateRequest(std::string& request) {
   const balancing::Endpoint& endpoint = *m_current.connection->endpoint;
-  m_current.withdrawn = !endpoint.CheckClosed(m_context.clock.Now()).IsAvailable() ||
+  m_current.withdrawn = (!endpoint.CheckClosed(m_context.clock.Now()).IsAvailable() &&
+                         !IsMutantEnabled("forwarder_sends_on_opened_connections_anyway")) ||
                         TimeLeft() <= 0ns || !IsKeyAccepted();
   if (m_current.withdrawn) {
     return false;
--- a/src/forward/forward_task_attempts.cc
+++ b/src/forward/forward_task_attempts.cc
@@ -80,7 +80,9 @@
 bool ForwardTask::StartAttempt(const router::Step& step, const balancing::EndpointPtr& endpoint) {
   const SteadyTime now = m_context.clock.Now();
   const bool is_checked =
-      step.attempt == 1 || !IsMutantEnabled("forwarder_retries_at_closed_endpoints");
+      (step.attempt == 1 || !IsMutantEnabled("forwarder_retries_at_closed_endpoints")) &&
+      (m_context.pool.IdleCount() == 0 ||
+       !IsMutantEnabled("forwarder_uses_kept_connection_once_more"));
   if (TimeLeft() < kMinAttemptTime ||
       (is_checked && !endpoint->CheckAvailability(now).IsAvailable())) {
     return false;
--- a/src/forward/forward_task_head.cc
+++ b/src/forward/forward_task_head.cc
@@ -116,8 +116,10 @@
 
 void ForwardTask::RecordLeaving(const http1::MessageHead& head) {
   const balancing::EndpointPtr& endpoint = m_current.connection->endpoint;
+  const bool is_success = head.status >= kOkFirst && head.status <= kOkLast;
   if (http::FindHeader(head.headers, m_context.names.leaving) != kLeaving ||
       IsMutantEnabled("forwarder_ignores_announced_leaving") ||
+      (!is_success && IsMutantEnabled("forwarder_reads_leaving_from_successes_only")) ||
       !m_context.endpoints.OnLeaving(*endpoint)) {
     return;
   }
@@ -127,7 +129,9 @@
                          {"id", m_id},
                          {"status", head.status}});
   m_context.metrics.GetCounter("forward_endpoints_leaving_total").Add();
-  m_context.pool.CloseIdle(*endpoint);
+  if (!IsMutantEnabled("forwarder_uses_kept_connection_once_more")) {
+    m_context.pool.CloseIdle(*endpoint);
+  }
 }
 
 }  // namespace wagtailwind::forward
