Keep using a restarted endpoint after a late 421 at its former address

Cause: an answer with status 421 took the endpoint out of use by its name. If the endpoint had restarted at another address while the request was under way, the new process was taken out of use until its next restart. Change: OnAddressReused takes the endpoint to which the request was sent.

--- a/src/balancing/endpoint_registry.cc
+++ b/src/balancing/endpoint_registry.cc
@@ -149,12 +149,9 @@
   }
 }
 
-void EndpointRegistry::OnAddressReused(const EndpointName& name) {
-  const auto found = m_entries.find(name.value());
-  if (found != m_entries.end() && found->second.endpoint->usable) {
-    found->second.endpoint->usable = false;
-    m_lists_outdated = true;
-  }
+void EndpointRegistry::OnAddressReused(Endpoint& endpoint) {
+  endpoint.usable = false;
+  m_lists_outdated = true;
 }
 
 bool EndpointRegistry::OnLeaving(Endpoint& endpoint) {
@@ -177,7 +174,7 @@
   const LeavingProcess process{
       .name = record.name, .incarnation = record.incarnation, .address = record.address};
   return std::any_of(m_leaving.begin(), m_leaving.end(), [&process](const LeavingProcess& leaving) {
-    return leaving == process || (leaving.name == process.name &&
+    return leaving == process || (leaving.name.value() == process.name.value() &&
                                   IsMutantEnabled("forwarder_keeps_leaving_for_the_next_process"));
   });
 }
--- a/src/balancing/endpoint_registry.h
+++ b/src/balancing/endpoint_registry.h
@@ -46,8 +46,9 @@
   /// outage.
   void RemoveExpired(SteadyTime now);
 
-  /// \brief Stops using an endpoint because another process answers at its address.
-  void OnAddressReused(const EndpointName& name);
+  /// \brief Stops using an endpoint because another process answers at its address. A process that
+  /// has since replaced it under its name stays in use.
+  void OnAddressReused(Endpoint& endpoint);
 
   /// \brief Stops using an endpoint because it has announced that it leaves. This holds for the
   /// process that announced it, whatever its entry says, also if the entry is deleted and written
--- a/src/forward/forward_task_answer.cc
+++ b/src/forward/forward_task_answer.cc
@@ -332,7 +332,7 @@
     case AnswerKind::kOtherProcess:
       CountAttempt("other_process");
       endpoint->health.OnInconclusive();
-      m_context.endpoints.OnAddressReused(endpoint->record.name);
+      m_context.endpoints.OnAddressReused(*endpoint);
       RunStep(m_decision->OnRefused(m_current.number, {.reason = FailureReason::kDraining}));
       return;
     case AnswerKind::kRefusal:
--- a/tests/unit/forward_endpoint_registry_test.cc
+++ b/tests/unit/forward_endpoint_registry_test.cc
@@ -139,7 +139,7 @@
 Test(endpoint_registry, stops_using_an_address_at_which_another_process_answers) {
   Fixture fixture;
   fixture.registry.Put(Record("a"));
-  fixture.registry.OnAddressReused(EndpointName("a"));
+  fixture.registry.OnAddressReused(*fixture.registry.Find("a"));
   cr_assert_eq(fixture.Usable(), 0);
   fixture.registry.Put(Record("a"));
   cr_assert_eq(fixture.Usable(), 0);
--- a/tests/unit/forward_path_test.cc
+++ b/tests/unit/forward_path_test.cc
@@ -224,6 +224,21 @@
   cr_assert_eq(fleet.arrivals, 3);
 }
 
+// Guards against leaving a restarted endpoint out of use, because another process answers a request
+// that was still under way to the address of the former process.
+Test(forward_path, uses_a_restarted_endpoint_after_a_late_answer_at_its_former_address) {
+  Connection* under_way = nullptr;
+  SingleEndpoint fleet(TestRoute(RequestKind::kIdempotent),
+                       [&under_way](Connection& connection) { under_way = &connection; });
+  const auto late = fleet.Send();
+  cr_assert(fleet.RunUntil([&] { return under_way != nullptr; }));
+  fleet.AddEndpoint("e1", AnswerOk);
+  fleet.loop.RunFor(700ms);
+  under_way->Write(HttpText(421, SignedHeaders(*under_way), ""));
+  cr_assert(fleet.RunUntil([&late] { return late->complete; }));
+  cr_assert_eq(fleet.Call()->status, 200);
+}
+
 // Guards against missing, repeated and partial events when a resumable stream continues at another
 // endpoint.
 Test(forward_path, resumes_a_broken_stream_without_gap_or_repeat) {
