Announce leaving, name pauses and evacuate zones in the soak

Cause: the endpoints of the soak neither announced that they leave nor named a time in a refusal, all were in one zone, and restarted ones were warm. Change: fault kinds for leaving with and without an entry that follows, for refusals with a Retry-After, and for an evacuation of a zone; restarted endpoints of one service are cold. The ledger checks leaving, pause, evacuated and cold on each request that arrives at an endpoint. The plan is sorted by time: the faults without end of a run had begun together after its other faults. soak_ctest.sh takes its mutants from a table and has two more.

--- a/tests/soak/deployment_wire.cc
+++ b/tests/soak/deployment_wire.cc
@@ -45,17 +45,27 @@
                                   {"Service", service}});
   }
   for (const std::string& service : services) {
-    document["Services"].push_back({{"Name", service}, {"MaxConns", 0}});
+    json object = {{"Name", service}, {"MaxConns", 0}};
+    if (service == configuration.cold_service) {
+      object["ColdS"] = std::chrono::duration<double>(configuration.cold_time).count();
+      object["ColdPerS"] = configuration.cold_rate;
+    }
+    document["Services"].push_back(std::move(object));
   }
   document["Tenants"] = json::array({{{"Name", "soak"}, {"ApiKeys", configuration.api_keys}}});
   return document.dump();
 }
 
-std::string EncodeEndpoint(const std::string& service, const std::string& address, bool draining,
-                           std::uint64_t incarnation) {
-  return json{{"Service", service}, {"Addr", address}, {"Zone", "zone-1"},
-              {"Version", "v1"},    {"Slots", 32},     {"State", draining ? "draining" : "ready"},
-              {"ColdLeftMs", 0},    {"Seq", 1},        {"born", incarnation}}
+std::string EncodeEndpoint(const EndpointEntry& entry) {
+  return json{{"Service", entry.service},
+              {"Addr", entry.address},
+              {"Zone", entry.zone},
+              {"Version", "v1"},
+              {"Slots", 32},
+              {"State", entry.draining ? "draining" : "ready"},
+              {"ColdLeftMs", entry.cold_time.count()},
+              {"Seq", 1},
+              {"born", entry.incarnation}}
       .dump();
 }
 
--- a/tests/soak/deployment_wire.h
+++ b/tests/soak/deployment_wire.h
@@ -18,12 +18,29 @@
   std::vector<forward::Route> routes;
   /// API keys of the organisation `soak`.
   std::vector<std::string> api_keys;
+  /// The service whose endpoints are cold after a start, for how long, and the requests a second
+  /// that they take then.
+  std::string cold_service;
+  std::chrono::milliseconds cold_time{0};
+  double cold_rate = 0;
 };
 
-/// \brief Encode the records in the format that the deployment's adapter decodes.
+/// \name Records in the format that the deployment's adapter decodes
+/// @{
 [[nodiscard]] std::string EncodeConfiguration(const OperatorConfiguration& configuration);
-[[nodiscard]] std::string EncodeEndpoint(const std::string& service, const std::string& address,
-                                         bool draining, std::uint64_t incarnation);
+
+/// \brief The entry of an endpoint.
+struct EndpointEntry {
+  std::string service;
+  std::string address;
+  std::uint64_t incarnation = 0;
+  std::string zone = "zone-1";
+  bool draining = false;
+  std::chrono::milliseconds cold_time{0};
+};
+[[nodiscard]] std::string EncodeEndpoint(const EndpointEntry& entry);
+
+/// @}
 
 /// \brief Server side of the deployment's key-value protocol.
 class DeploymentStoreWire final : public testing::StoreWire {
--- a/tests/soak/ledger.cc
+++ b/tests/soak/ledger.cc
@@ -25,7 +25,14 @@
 // Memory of the smallest instance.
 constexpr double kMaxMegabytes = 112;
 
+// Time after its key was written from which no request may reach an evacuated zone.
+constexpr std::chrono::milliseconds kEvacuationTime = 5'000ms;
+
+// Time until routers learn from the entry of a new process that it is cold: a watch and its pause.
+constexpr std::chrono::milliseconds kColdNoticeTime = 1'500ms;
+
 constexpr int kOk = 200;
+constexpr int kMisdirected = 421;
 
 // Minimum share of the requests after the last fault that must succeed. A few fail because a router
 // doesn't yet know that an endpoint has recovered.
@@ -33,7 +40,6 @@
 
 [[nodiscard]] bool StatusMeansNotRun(int status) noexcept {
   constexpr int kTimeout = 408;
-  constexpr int kMisdirected = 421;
   constexpr int kTooMany = 429;
   constexpr int kUnavailable = 503;
   return status == kTimeout || status == kMisdirected || status == kTooMany ||
@@ -60,6 +66,10 @@
   std::string attempt;
   fields >> nanoseconds >> run.endpoint >> event >> attempt;
   run.at = SteadyTime(std::chrono::nanoseconds(nanoseconds));
+  if (event == "start") {
+    m_processes[run.endpoint] = {.started = run.at, .is_cold = attempt == "cold"};
+    return;
+  }
   const auto found = m_requests.find(attempt);
   if (found == m_requests.end()) {
     m_reported.push_back("foreign: " + run.endpoint +
@@ -67,9 +77,23 @@
     return;
   }
   Entry& entry = found->second;
+  std::vector<Announcement>& announcements = m_processes[run.endpoint].announcements;
   if (event == "refuse") {
     ++entry.refusals;
+    int status = 0;
+    std::int64_t pause_ms = 0;
+    fields >> status >> pause_ms;
+    if (status != kMisdirected) {
+      CheckArrival(entry.request, run.endpoint, run.at);
+    }
+    if (pause_ms > 0) {
+      announcements.push_back(
+          {&entry.request, run.at, run.at + std::chrono::milliseconds(pause_ms)});
+    }
+  } else if (event == "leave") {
+    announcements.push_back({&entry.request, run.at, SteadyTime::max()});
   } else if (event == "run") {
+    CheckArrival(entry.request, run.endpoint, run.at);
     std::string key;
     fields >> run.path >> run.organisation >> key >> run.deadline;
     run.saw_key = key == "key";
@@ -86,6 +110,60 @@
   }
 }
 
+void Ledger::CheckArrival(const SoakRequest& request, const std::string& endpoint, SteadyTime at) {
+  const std::string name = request.prefix + " " + request.attempt;
+  std::vector<Announcement>& announcements = m_processes[endpoint].announcements;
+  // A router may have given up one answer before its head arrived, but not each of them.
+  constexpr int kCertainlyRead = 2;
+  int leaving = 0;
+  int paused = 0;
+  for (const Announcement& answer : announcements) {
+    const bool counts = answer.request->router == request.router && !answer.request->disconnected &&
+                        at > answer.at + kSchedulingTolerance && at < answer.until &&
+                        HadNoFault(RouterScope(request.router), answer.at, at) &&
+                        HadNoFault(StopScope(request.router), answer.at, at) &&
+                        HadNoFault(endpoint, answer.at, at);
+    if (counts) {
+      ++(answer.until == SteadyTime::max() ? leaving : paused);
+    }
+  }
+  if (leaving >= kCertainlyRead) {
+    m_reported.push_back("leaving: " + endpoint +
+                         " received a new request after it had announced that it leaves, " + name);
+  }
+  if (paused >= kCertainlyRead) {
+    m_reported.push_back("pause: " + endpoint +
+                         " received a new request in a time for which it wanted none, " + name);
+  }
+  for (const FaultPeriod& evacuation : m_evacuations[m_zones[endpoint]]) {
+    if (at > evacuation.begin + kEvacuationTime && at < evacuation.end &&
+        RouterHadNoFault(request.router, evacuation.begin, at) &&
+        HadNoFault(endpoint, evacuation.begin, at)) {
+      m_reported.push_back("evacuated: " + endpoint +
+                           " received a new request while its zone was evacuated, " + name);
+    }
+  }
+  CheckCold(request, endpoint, at);
+}
+
+// Routers that could not learn of the process are not counted.
+void Ledger::CheckCold(const SoakRequest& request, const std::string& endpoint, SteadyTime at) {
+  Process& process = m_processes[endpoint];
+  if (!process.is_cold || at < process.started + kColdNoticeTime ||
+      at > process.started + kColdTime || !HadNoFault(HeldScope(endpoint), process.started, at) ||
+      !RouterHadNoFault(request.router, process.started, at)) {
+    return;
+  }
+  std::erase_if(process.recent, [at](SteadyTime time) { return time <= at - 1s; });
+  process.recent.push_back(at);
+  const double limit = kColdRate * m_bounds.cold_factor + m_bounds.cold_slack;
+  if (static_cast<double>(process.recent.size()) > limit) {
+    m_reported.push_back("cold: " + endpoint + " received " +
+                         std::to_string(process.recent.size()) +
+                         " requests within a second while it was cold");
+  }
+}
+
 void Ledger::OnFaultBegin(const Scope& scope, SteadyTime at) {
   m_fault_periods[scope].push_back({at, SteadyTime::max()});
 }
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -50,6 +50,11 @@
   SteadyTime ended{};
 };
 
+/// \brief Time for which a restarted endpoint of the soak is cold, and the requests a second that
+/// it takes meanwhile.
+inline constexpr std::chrono::milliseconds kColdTime{4'000};
+inline constexpr double kColdRate = 2;
+
 /// \brief Records the requests of a soak as callers and endpoints observe them, and checks the
 /// invariants that the product guarantees.
 ///
@@ -69,13 +74,20 @@
     return RouterScope(router) + std::string(kStopSuffix);
   }
 
+  /// \brief Scope of the faults that hold up requests on their way to an endpoint and then deliver
+  /// them at once.
+  [[nodiscard]] static Scope HeldScope(const std::string& endpoint) { return endpoint + "-held"; }
+
   /// \brief `bounds` must equal the bounds in the settings of the routers.
   explicit Ledger(const settings::ForwarderBounds& bounds) : m_bounds(bounds) {}
 
   /// \brief Records a request that is being sent. The reference stays valid.
   SoakRequest& Begin(SoakRequest request);
 
-  /// \brief Records a line of the endpoints' log: `time endpoint event attempt ...`.
+  /// \brief Records a line of the endpoints' log: `time endpoint event attempt ...`. The event is
+  /// `start` with `cold` or `warm` in place of the attempt, `run`, one of the ends of a run,
+  /// `leave` with an answer that announces it, or `refuse` with the status and the pause that it
+  /// names, in milliseconds.
   void AddEndpointLine(std::string_view line);
 
   void OnFaultBegin(const Scope& scope, SteadyTime at);
@@ -85,7 +97,14 @@
   void OnConfiguration(const std::string& service, SteadyTime at);
   void OnKeyRevoked(const std::string& key, SteadyTime at) { m_revoked.try_emplace(key, at); }
   void OnDraining(const std::string& endpoint, SteadyTime at) { m_draining[endpoint] = at; }
-  void OnEndpointStarted(const std::string& endpoint) { m_draining.erase(endpoint); }
+  void OnEndpointStarted(const std::string& endpoint, const std::string& zone) {
+    m_draining.erase(endpoint);
+    m_zones[endpoint] = zone;
+  }
+  void OnEvacuated(const std::string& zone, SteadyTime at) {
+    m_evacuations[zone].push_back({at, SteadyTime::max()});
+  }
+  void OnRestored(const std::string& zone, SteadyTime at) { m_evacuations[zone].back().end = at; }
 
   /// \brief Reports a process that exited without being stopped.
   void OnUnexpectedExit(const std::string& program, int status) {
@@ -111,6 +130,21 @@
     SteadyTime begin;
     SteadyTime end;
   };
+  /// An answer that tells its router to send the endpoint no further requests.
+  struct Announcement {
+    const SoakRequest* request;
+    SteadyTime at;
+    /// `SteadyTime::max()` if the endpoint leaves.
+    SteadyTime until;
+  };
+  /// The running process of an endpoint.
+  struct Process {
+    SteadyTime started{};
+    bool is_cold = false;
+    std::vector<Announcement> announcements = {};
+    /// Requests within the last second that count towards the limit of a cold endpoint.
+    std::vector<SteadyTime> recent = {};
+  };
   struct ConfigurationChange {
     SteadyTime at;
     std::string service;
@@ -133,6 +167,9 @@
   /// planned stops.
   [[nodiscard]] bool HadNoUnplannedFault(const Entry& entry) const;
 
+  /// Checks that the endpoint may get the request that has arrived at it.
+  void CheckArrival(const SoakRequest& request, const std::string& endpoint, SteadyTime at);
+  void CheckCold(const SoakRequest& request, const std::string& endpoint, SteadyTime at);
   void CheckAnswer(const Entry& entry, Violations& found) const;
   void CheckRuns(const Entry& entry, Violations& found) const;
   void CheckConfiguration(const Entry& entry, Violations& found) const;
@@ -148,6 +185,11 @@
   std::vector<ConfigurationChange> m_configuration_changes;
   std::map<std::string, SteadyTime> m_revoked;
   std::map<std::string, SteadyTime> m_draining;
+  /// By endpoint.
+  std::map<std::string, Process> m_processes;
+  std::map<std::string, std::string> m_zones;
+  /// By availability zone.
+  std::map<std::string, std::vector<FaultPeriod>> m_evacuations;
   std::optional<SteadyTime> m_last_fault_end;
 };
 
--- a/tests/soak/soak_ctest.sh
+++ b/tests/soak/soak_ctest.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs the soak with fixed seeds, which must pass, and with a mutant, which must fail.
+# Runs the soak with fixed seeds, which must pass, and with mutants, which must fail.
 # Argument: the path of the program `soak`.
 set -uo pipefail
 soak=$1
@@ -13,27 +13,32 @@
   "$soak" --seed "$seed" --seconds 10 >"$folder/seed-$seed" &
   runs[$seed]=$!
 done
-# With this seed and length, planned stops coincide with open requests.
-"$soak" --seed 1 --seconds 20 --mutant forwarder_stops_at_once >"$folder/mutant" &
-mutant=$!
 
-# An endpoint sends an event without end.
-"$soak" --seed 1 --seconds 10 --mutant forwarder_keeps_endless_events >"$folder/mutant-endless" &
-endless_mutant=$!
+# Seed, length and the invariant that is violated. With the first, planned stops coincide with open
+# requests; with the second, an endpoint sends an event without end.
+declare -A mutants=(
+  [forwarder_stops_at_once]="1 20 cut"
+  [forwarder_keeps_endless_events]="1 10 memory"
+  [forwarder_ignores_evacuations]="2302 20 evacuated"
+  [forwarder_ignores_pauses]="2302 20 pause"
+)
+declare -A mutant_runs
+for mutant in "${!mutants[@]}"; do
+  read -r seed seconds _ <<<"${mutants[$mutant]}"
+  "$soak" --seed "$seed" --seconds "$seconds" --mutant "$mutant" >"$folder/$mutant" &
+  mutant_runs[$mutant]=$!
+done
 
 for seed in "${!runs[@]}"; do
   wait "${runs[$seed]}" || { echo "seed $seed failed"; status=1; }
 done
-wait "$mutant"
-mutant_status=$?
-wait "$endless_mutant"
-if [ $? -ne 1 ] || ! grep -q '"memory: ' "$folder/mutant-endless"; then
-  echo "the soak did not detect the mutant that keeps endless events"
-  status=1
-fi
-cat "$folder"/seed-* "$folder"/mutant*
-if [ "$mutant_status" -ne 1 ] || ! grep -q '"cut: ' "$folder/mutant"; then
-  echo "the soak did not detect the mutant"
-  status=1
-fi
+for mutant in "${!mutants[@]}"; do
+  read -r _ _ invariant <<<"${mutants[$mutant]}"
+  wait "${mutant_runs[$mutant]}"
+  if [ $? -ne 1 ] || ! grep -q "\"$invariant: " "$folder/$mutant"; then
+    echo "the soak did not detect $mutant"
+    status=1
+  fi
+done
+cat "$folder"/*
 exit "$status"
--- a/tests/soak/soak_endpoint_main.cc
+++ b/tests/soak/soak_endpoint_main.cc
@@ -38,18 +38,23 @@
 // soak's own process, which a higher rate would hold up.
 constexpr int kEndlessPartsPerTick = 4;
 
+// Longer than the ledger waits for the end of what is on its way.
+constexpr std::chrono::seconds kNamedPause{5};
+
 std::uint64_t ParseNumber(std::string_view text) {
   return text.empty() ? 0 : std::stoull(std::string(text));
 }
 
 class Endpoint {
  public:
-  Endpoint(net::EventLoop& loop, std::string name, const std::string& log)
+  Endpoint(net::EventLoop& loop, std::string name, const std::string& log, bool is_cold)
       : m_loop(loop),
         m_name(std::move(name)),
         m_log(open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644)),
         m_server(loop, [this](Connection& connection) { Handle(connection); }),
-        m_endless_writer(loop, kEndlessPartsPerTick) {}
+        m_endless_writer(loop, kEndlessPartsPerTick) {
+    Record("start", is_cold ? "cold" : "warm");
+  }
   ~Endpoint() { close(m_log); }
   Endpoint(const Endpoint&) = delete;
   Endpoint& operator=(const Endpoint&) = delete;
@@ -85,11 +90,29 @@
            "\r\n" + m_names.load + ": " + std::to_string(m_runs.size()) + ",0,32\r\n";
   }
 
-  void Refuse(Connection& connection, int status) {
+  /// Returns the header line by which an answer announces that the endpoint leaves, if it does.
+  [[nodiscard]] std::string LeavingHeader(const std::string& attempt) const {
+    if (!m_leaving) {
+      return {};
+    }
+    Record("leave", attempt);
+    return m_names.leaving + ": 1\r\n";
+  }
+
+  /// Refuses a request. A `pause` above 0 is the time for which the endpoint wants no further ones.
+  void Refuse(Connection& connection, int status, std::chrono::seconds pause = {}) {
     const std::string attempt(http::FindHeader(connection.head.headers, m_names.attempt_id));
-    Record("refuse", attempt);
-    const std::string text = HttpText(
-        status, m_names.not_run + ": 1\r\n" + m_names.attempt_id + ": " + attempt + "\r\n", "");
+    Record("refuse", attempt + " " + std::to_string(status) + " " +
+                         std::to_string(std::chrono::milliseconds(pause).count()));
+    std::string headers =
+        m_names.not_run + ": 1\r\n" + m_names.attempt_id + ": " + attempt + "\r\n";
+    if (status != kMisdirected) {
+      headers += LeavingHeader(attempt);
+    }
+    if (pause > std::chrono::seconds(0)) {
+      headers += "Retry-After: " + std::to_string(pause.count()) + "\r\n";
+    }
+    const std::string text = HttpText(status, headers, "");
     connection.Write(text);
     m_refusals[&connection] = text;
   }
@@ -110,7 +133,12 @@
     const std::string path = head.target.substr(0, question);
     const std::string_view query = std::string_view(head.target).substr(question + 1);
     if (path == "/control") {
-      m_mode = http::QueryParameter(query, "mode");
+      const std::string mode(http::QueryParameter(query, "mode"));
+      if (mode == "leave") {
+        m_leaving = true;
+      } else {
+        m_mode = mode;
+      }
       connection.Write(HttpText(kOk, "", ""));
       return;
     }
@@ -119,8 +147,8 @@
       Refuse(connection, kMisdirected);
       return;
     }
-    if (m_mode == "refuse") {
-      Refuse(connection, kUnavailable);
+    if (m_mode == "refuse" || m_mode == "pause") {
+      Refuse(connection, kUnavailable, m_mode == "pause" ? kNamedPause : std::chrono::seconds(0));
       return;
     }
     RepeatRefusal(connection);
@@ -158,7 +186,8 @@
       return;
     }
     if (m_mode == "fail" && !run.head_sent) {
-      run.connection->Write(HttpText(kServerError, SignatureHeaders(run.attempt), "failed"));
+      run.connection->Write(HttpText(
+          kServerError, SignatureHeaders(run.attempt) + LeavingHeader(run.attempt), "failed"));
       End(run, "failed");
       return;
     }
@@ -167,7 +196,8 @@
 
   void Answer(Run& run) {
     const std::string text =
-        HttpText(kOk, SignatureHeaders(run.attempt), CallBody(run.attempt, run.size));
+        HttpText(kOk, SignatureHeaders(run.attempt) + LeavingHeader(run.attempt),
+                 CallBody(run.attempt, run.size));
     if (m_mode == "truncate") {
       constexpr std::size_t kCutBytes = 5;
       run.connection->Write(std::string_view(text).substr(0, text.size() - kCutBytes));
@@ -223,7 +253,8 @@
   void WriteStreamHead(Run& run) {
     if (!std::exchange(run.head_sent, true)) {
       run.connection->Write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
-                            SignatureHeaders(run.attempt) + "Transfer-Encoding: chunked\r\n\r\n");
+                            SignatureHeaders(run.attempt) + LeavingHeader(run.attempt) +
+                            "Transfer-Encoding: chunked\r\n\r\n");
     }
   }
 
@@ -237,8 +268,10 @@
   const forward::WireNames& m_names = m_adapter->Names();
   const std::string m_name;
   const int m_log;
-  /// Active fault: `fail`, `lose`, `truncate`, `refuse`, `hang`, `endless`, or empty.
+  /// Active fault: `fail`, `lose`, `truncate`, `refuse`, `pause`, `hang`, `endless`, or empty.
   std::string m_mode;
+  /// Each answer announces that the endpoint leaves. This has no end.
+  bool m_leaving = false;
   std::list<Run> m_runs;
   std::map<const Connection*, std::string> m_refusals;
   ScriptedServer m_server;
@@ -254,13 +287,15 @@
   cxxopts::Options options("soak_endpoint", "An endpoint of the soak.");
   options.add_options()("name", "name of the endpoint in the key-value service",
                         cxxopts::value<std::string>())(
-      "log", "file to which executions are appended", cxxopts::value<std::string>());
+      "log", "file to which executions are appended", cxxopts::value<std::string>())(
+      "cold", "the endpoint has started during traffic", cxxopts::value<bool>());
   try {
     const auto arguments = options.parse(argc, argv);
     signal(SIGPIPE, SIG_IGN);
     wagtailwind::net::EventLoop loop;
     const wagtailwind::soak::Endpoint endpoint(loop, arguments["name"].as<std::string>(),
-                                               arguments["log"].as<std::string>());
+                                               arguments["log"].as<std::string>(),
+                                               arguments["cold"].as<bool>());
     const wagtailwind::net::SignalWatcher stop(loop, SIGTERM, [&loop] { loop.Stop(); });
     std::cout << endpoint.Address() << std::endl;
     loop.Run();
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <iterator>
@@ -23,6 +24,10 @@
 constexpr std::chrono::milliseconds kProgramStartTime = 1'000ms;
 constexpr const char* kConfigurationKey = "op/config";
 constexpr const char* kEndpointPrefix = "servers/";
+// The service whose endpoints are cold after a start. Requests of the other one are refused less
+// often, so that more of them are under way at planned stops.
+constexpr const char* kColdService = "alpha";
+constexpr const char* kEvacuationPrefix = "op/evacuate/";
 
 // An endpoint's entry expires after three missed heartbeats of 1.2 s.
 constexpr std::chrono::milliseconds kRegistrationExpiry = 3'600ms;
@@ -37,9 +42,19 @@
 constexpr std::chrono::milliseconds kMinDrain = 6'500ms;
 constexpr std::chrono::milliseconds kMaxDrain = 7'500ms;
 
+// Time from an announcement to the entry that follows it.
+constexpr std::chrono::milliseconds kEntryDelay = 1'000ms;
+
+// Longer than the time from which no request may reach an evacuated zone.
+constexpr std::chrono::milliseconds kMinEvacuation = 7'000ms;
+constexpr std::chrono::milliseconds kMaxEvacuation = 9'000ms;
+
 constexpr std::chrono::milliseconds kSlowStore = 300ms;
 constexpr int kUnavailable = 503;
 
+/// Returns the name of the availability zone of a router or endpoint.
+std::string ZoneOf(std::size_t index) { return "zone-" + std::to_string(index % 2 + 1); }
+
 forward::Route MakeRoute(const std::string& name, RequestKind kind,
                          std::chrono::milliseconds timeout, std::uint32_t attempts,
                          const std::string& service, bool resumable = false) {
@@ -109,12 +124,16 @@
       MakeRoute("stream-once", RequestKind::kStream, 6'000ms, 1, "beta"),
       MakeRoute("move", RequestKind::kIdempotent, 1'500ms, 2, "alpha"),
   };
+  m_configuration.cold_service = kColdService;
+  m_configuration.cold_time = kColdTime;
+  m_configuration.cold_rate = kColdRate;
   ChangeConfiguration();
   for (const char* service : {"alpha", "beta"}) {
     for (std::size_t i = 0; i < m_options.endpoints; ++i) {
       auto endpoint = std::make_unique<Endpoint>();
       endpoint->name = std::string(service) + "-" + std::to_string(i);
       endpoint->service = service;
+      endpoint->zone = ZoneOf(i);
       endpoint->link = std::make_unique<LinkProxy>(loop);
       StartEndpoint(*endpoint);
       m_endpoints.push_back(std::move(endpoint));
@@ -155,14 +174,16 @@
   router.address = FreeAddress();
   std::ofstream(router.settings_path)
       << "role: forwarder\ninstance:\n  name: router-" << index
-      << "\n  availability_zone: zone-1\n  memory: 128MiB\nlisten:\n  callers: " << router.address
+      << "\n  availability_zone: " << ZoneOf(index)
+      << "\n  memory: 128MiB\nlisten:\n  callers: " << router.address
       << "\n  admin: " << FreeAddress()
       << "\nplatform:\n  key_value: " << router.store_link->Address()
       << "\nbounds:\n  key_revocation: " << bounds.key_revocation.count()
       << "ms\n  configuration: " << bounds.configuration.count()
       << "ms\n  endpoint_drain: " << bounds.endpoint_drain.count()
       << "ms\n  grace: " << bounds.grace.count() << "ms\n  retry_ratio: " << bounds.retry_ratio
-      << "\n  retry_slack: " << bounds.retry_slack << "\nlog:\n  level: info\n";
+      << "\n  retry_slack: " << bounds.retry_slack << "\n  cold_factor: " << bounds.cold_factor
+      << "\n  cold_slack: " << bounds.cold_slack << "\nlog:\n  level: info\n";
   const std::string log = m_options.folder + "/router-" + std::to_string(index) + ".log";
   std::string program = std::string(WAGTAILWIND_BINARY_DIR) + "/wagtailwind-forwarder";
   if (!m_options.mutant.empty()) {
@@ -175,22 +196,35 @@
 }
 
 void SoakFleet::StartEndpoint(Endpoint& endpoint) {
-  endpoint.process = std::make_unique<testing::ChildProcess>(std::vector<std::string>{
-      std::string(WAGTAILWIND_BINARY_DIR) + "/tests/soak_endpoint", "--name", endpoint.name,
-      "--log", m_options.folder + "/endpoints.log"});
+  std::vector<std::string> command = {std::string(WAGTAILWIND_BINARY_DIR) + "/tests/soak_endpoint",
+                                      "--name", endpoint.name, "--log",
+                                      m_options.folder + "/endpoints.log"};
+  // The first processes start before the traffic.
+  if (endpoint.process && endpoint.service == kColdService) {
+    command.emplace_back("--cold");
+    endpoint.cold_until = m_clock.Now() + kColdTime;
+  }
+  endpoint.process = std::make_unique<testing::ChildProcess>(command);
   endpoint.address = endpoint.process->ReadLine();
   endpoint.link->SetServer(endpoint.address);
+  endpoint.leaving = false;
   endpoint.draining = false;
   endpoint.terminating = false;
   endpoint.incarnation = ++m_last_incarnation;
-  m_ledger.OnEndpointStarted(endpoint.name);
+  m_ledger.OnEndpointStarted(endpoint.name, endpoint.zone);
   PutEndpoint(endpoint);
 }
 
 void SoakFleet::PutEndpoint(const Endpoint& endpoint) {
   m_store.Put(kEndpointPrefix + endpoint.name,
-              EncodeEndpoint(endpoint.service, endpoint.link->Address(), endpoint.draining,
-                             endpoint.incarnation));
+              EncodeEndpoint(
+                  {.service = endpoint.service,
+                   .address = endpoint.link->Address(),
+                   .incarnation = endpoint.incarnation,
+                   .zone = endpoint.zone,
+                   .draining = endpoint.draining,
+                   .cold_time = std::chrono::ceil<std::chrono::milliseconds>(
+                       std::max<SteadyTime::duration>(endpoint.cold_until - m_clock.Now(), 0ms))}));
 }
 
 void SoakFleet::PutOddEntry() {
@@ -199,9 +233,11 @@
   const std::string values[] = {
       "no entry",
       std::string(kNestedLevels, '['),
-      EncodeEndpoint("alpha", "127.0.0.1:70000", false, 1),
-      EncodeEndpoint("alpha", "127.0.0.1:0", false, 1),
-      EncodeEndpoint("alpha", address, false, std::numeric_limits<std::uint64_t>::max()),
+      EncodeEndpoint({.service = "alpha", .address = "127.0.0.1:70000", .incarnation = 1}),
+      EncodeEndpoint({.service = "alpha", .address = "127.0.0.1:0", .incarnation = 1}),
+      EncodeEndpoint({.service = "alpha",
+                      .address = address,
+                      .incarnation = std::numeric_limits<std::uint64_t>::max()}),
   };
   const std::size_t odd = m_odd_entries++ % std::size(values);
   m_store.Put(kEndpointPrefix + std::string("odd-") + std::to_string(odd), values[odd]);
@@ -294,6 +330,17 @@
   return WithTargets({{.name = "endpoint_endless", .shortest = 500ms, .longest = 3'000ms}});
 }
 
+std::vector<FaultKind> SoakFleet::LeavingFaultKinds() const {
+  return WithTargets(
+      {{.name = "endpoint_leave", .shortest = kMinDrain, .longest = kMaxDrain},
+       {.name = "endpoint_unlisted", .weight = 3, .shortest = kMinDrain, .longest = kMaxDrain},
+       {.name = "endpoint_named", .weight = 3, .shortest = 1'000ms, .longest = 3'000ms},
+       {.name = "zone_evacuate",
+        .weight = 2,
+        .shortest = kMinEvacuation,
+        .longest = kMaxEvacuation}});
+}
+
 std::vector<FaultKind> SoakFleet::FaultKinds() const {
   std::vector<FaultKind> kinds = {
       {.name = "router_kill", .shortest = 300ms, .longest = 2'000ms},
@@ -386,15 +433,57 @@
                 " HTTP/1.1\r\nHost: soak\r\nContent-Length: 0\r\n\r\n");
 }
 
+void SoakFleet::Drain(Endpoint& endpoint) {
+  if (!endpoint.terminating) {
+    endpoint.draining = true;
+    PutEndpoint(endpoint);
+    m_ledger.OnDraining(endpoint.name, m_clock.Now());
+  }
+}
+
+void SoakFleet::Restart(Endpoint& endpoint) {
+  ReportFault(endpoint.name, true);
+  endpoint.process->Signal(SIGKILL);
+  endpoint.process->Wait();
+  StartEndpoint(endpoint);
+  ReportFault(endpoint.name, false);
+}
+
+void SoakFleet::SetEvacuated(bool evacuated) {
+  const int before = m_evacuations;
+  m_evacuations += evacuated ? 1 : -1;
+  // With both zones evacuated, nothing would be sent.
+  const std::string zone = ZoneOf(m_options.seed);
+  if (evacuated && before == 0) {
+    m_store.Put(kEvacuationPrefix + zone, "{}");
+    m_ledger.OnEvacuated(zone, m_clock.Now());
+  } else if (!evacuated && before == 1) {
+    m_ledger.OnRestored(zone, m_clock.Now());
+    m_store.Delete(kEvacuationPrefix + zone);
+  }
+}
+
 void SoakFleet::BeginEndpointFault(const std::string& fault_name, Endpoint& endpoint) {
   if (fault_name == "drain") {
-    if (!endpoint.terminating) {
-      endpoint.draining = true;
-      PutEndpoint(endpoint);
-      m_ledger.OnDraining(endpoint.name, m_clock.Now());
+    Drain(endpoint);
+    return;
+  }
+  if (fault_name == "leave" || fault_name == "unlisted") {
+    SetMode(endpoint, "leave");
+    endpoint.leaving = !endpoint.terminating;
+    if (fault_name == "leave") {
+      RunAfter(kEntryDelay, [this, &endpoint, process = endpoint.incarnation] {
+        if (endpoint.incarnation == process) {
+          Drain(endpoint);
+        }
+      });
     }
     return;
   }
+  if (fault_name == "named") {
+    SetMode(endpoint, "pause");
+    return;
+  }
   ReportFault(endpoint.name, true);
   if (fault_name == "kill") {
     endpoint.terminating = true;
@@ -405,6 +494,7 @@
       }
     });
   } else if (fault_name == "pause") {
+    ReportFault(Ledger::HeldScope(endpoint.name), true);
     endpoint.process->Signal(SIGSTOP);
   } else {
     SetMode(endpoint, fault_name);
@@ -412,16 +502,16 @@
 }
 
 void SoakFleet::EndEndpointFault(const std::string& fault_name, Endpoint& endpoint) {
-  if (fault_name == "drain") {
-    if (endpoint.draining) {
-      ReportFault(endpoint.name, true);
-      endpoint.process->Signal(SIGKILL);
-      endpoint.process->Wait();
-      StartEndpoint(endpoint);
-      ReportFault(endpoint.name, false);
+  if (fault_name == "drain" || fault_name == "leave" || fault_name == "unlisted") {
+    if (fault_name == "drain" ? endpoint.draining : endpoint.leaving) {
+      Restart(endpoint);
     }
     return;
   }
+  if (fault_name == "named") {
+    SetMode(endpoint, "");
+    return;
+  }
   if (fault_name == "kill") {
     if (endpoint.terminating) {
       endpoint.process->Wait();
@@ -429,6 +519,7 @@
     }
   } else if (fault_name == "pause") {
     endpoint.process->Signal(SIGCONT);
+    ReportFault(Ledger::HeldScope(endpoint.name), false);
   } else {
     SetMode(endpoint, "");
   }
@@ -470,7 +561,10 @@
       begins ? BeginEndpointFault(fault_name, *m_endpoints[i])
              : EndEndpointFault(fault_name, *m_endpoints[i]);
     }
+  } else if (scope == "zone") {
+    SetEvacuated(begins);
   } else if (scope == "endpointlink") {
+    ReportFault(Ledger::HeldScope(m_endpoints[target]->name), begins);
     SetLinkFault(*m_endpoints[target]->link, m_endpoints[target]->name, fault_name, begins);
   } else if (scope == "storelink") {
     SetLinkFault(*m_routers[target].store_link, Ledger::RouterScope(target), fault_name, begins);
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -33,7 +33,7 @@
   /// Endpoints of each of the two services.
   std::size_t endpoints = 3;
   /// Bounds in the settings of the routers. The slack allows each router some retries.
-  settings::ForwarderBounds bounds{.retry_slack = 64};
+  settings::ForwarderBounds bounds{.retry_slack = 64, .cold_factor = 1.5, .cold_slack = 5};
   /// Name of the mutant that the routers run; empty for the program as it is shipped.
   std::string mutant;
   /// Folder of the settings and logs.
@@ -54,6 +54,10 @@
   /// their own, so that the other faults of a seed stay the same.
   [[nodiscard]] std::vector<histories::FaultKind> EndlessFaultKinds() const;
 
+  /// \brief Returns the kinds in which endpoints announce that they leave or want no requests for a
+  /// time, and zones are evacuated.
+  [[nodiscard]] std::vector<histories::FaultKind> LeavingFaultKinds() const;
+
   void Begin(const histories::Fault& fault) { Apply(fault, true); }
   void End(const histories::Fault& fault) { Apply(fault, false); }
 
@@ -81,11 +85,16 @@
   struct Endpoint {
     std::string name;
     std::string service;
+    std::string zone;
     std::unique_ptr<LinkProxy> link;
     std::unique_ptr<testing::ChildProcess> process;
     std::string address;
     /// Incarnation of the process.
     std::uint64_t incarnation = 0;
+    /// The process is cold until this time.
+    SteadyTime cold_until{};
+    /// The answers of the process announce that it leaves.
+    bool leaving = false;
     bool draining = false;
     bool terminating = false;
   };
@@ -101,6 +110,11 @@
   static void SetMode(const Endpoint& endpoint, const std::string& mode);
   void RunAfter(std::chrono::milliseconds delay, std::function<void()> function);
   void ReportFault(const std::string& scope, bool begins);
+  void Drain(Endpoint& endpoint);
+  void Restart(Endpoint& endpoint);
+  /// Evacuates a zone, the same one in the whole run, or takes it back, unless other faults keep it
+  /// evacuated.
+  void SetEvacuated(bool evacuated);
   void Apply(const histories::Fault& fault, bool begins);
   void SetLinkFault(LinkProxy& link, const std::string& scope, const std::string& fault_name,
                     bool begins);
@@ -126,6 +140,7 @@
   std::uint64_t m_requests = 0;
   std::uint64_t m_last_incarnation = 0;
   std::size_t m_odd_entries = 0;
+  int m_evacuations = 0;
   std::streamoff m_log_position = 0;
   std::list<net::Timer> m_timers;
 };
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -39,25 +39,41 @@
   std::map<std::string, std::size_t> faults;
 };
 
+/// Appends the faults of a plan after `begin`. Returns when its last fault ends.
+std::chrono::milliseconds Append(const std::vector<histories::Fault>& faults,
+                                 std::chrono::milliseconds begin,
+                                 std::vector<histories::Fault>& plan) {
+  std::chrono::milliseconds end = begin;
+  for (histories::Fault fault : faults) {
+    fault.begin += begin;
+    end = std::max(end, fault.begin + fault.duration);
+    plan.push_back(std::move(fault));
+  }
+  return end;
+}
+
 /// Plans faults of all kinds in the first half and only planned operations in the second half, so
-/// that the invariants that apply only without faults can be checked.
+/// that the invariants that apply only without faults can be checked. Endpoints that announce that
+/// they leave, and evacuations, are planned beside the first half and after the second one.
 std::vector<histories::Fault> MakePlan(const soak::SoakFleet& fleet, std::uint64_t seed,
                                        std::chrono::seconds length) {
-  std::vector<histories::Fault> plan =
-      histories::MakeFaultPlan(fleet.FaultKinds(), seed, length / 2);
-  for (const histories::Fault& fault :
-       histories::MakeFaultPlan(fleet.EndlessFaultKinds(), seed + 2, length / 2)) {
-    plan.push_back(fault);
-  }
-  std::chrono::milliseconds faults_end{0};
-  for (const histories::Fault& fault : plan) {
-    faults_end = std::max(faults_end, fault.begin + fault.duration);
-  }
-  for (histories::Fault& fault :
-       histories::MakeFaultPlan(fleet.PlannedFaultKinds(), seed + 1, length / 2)) {
-    fault.begin += faults_end + kReconnectPause;
-    plan.push_back(fault);
+  const auto leaving = [&](std::uint64_t leaving_seed) {
+    return histories::MakeFaultPlan(fleet.LeavingFaultKinds(), leaving_seed, length / 4);
+  };
+  std::vector<histories::Fault> plan;
+  std::chrono::milliseconds end{0};
+  for (const auto& faults :
+       {histories::MakeFaultPlan(fleet.FaultKinds(), seed, length / 2),
+        histories::MakeFaultPlan(fleet.EndlessFaultKinds(), seed + 2, length / 2),
+        leaving(seed + 3)}) {
+    end = std::max(end, Append(faults, 0ms, plan));
   }
+  end = Append(histories::MakeFaultPlan(fleet.PlannedFaultKinds(), seed + 1, length / 2),
+               end + kReconnectPause, plan);
+  Append(leaving(seed + 4), end + kReconnectPause, plan);
+  std::stable_sort(
+      plan.begin(), plan.end(),
+      [](const histories::Fault& a, const histories::Fault& b) { return a.begin < b.begin; });
   return plan;
 }
 
--- a/tests/unit/soak_ledger_test.cc
+++ b/tests/unit/soak_ledger_test.cc
@@ -21,7 +21,7 @@
 
 /// A ledger to which a test adds a request that was answered after 20 ms.
 struct Fixture {
-  Ledger ledger{settings::ForwarderBounds{}};
+  Ledger ledger{settings::ForwarderBounds{.cold_factor = 1.5, .cold_slack = 5}};
   SteadyTime now = kStart;
 
   SoakRequest& Send(const std::string& prefix, RequestKind kind, int status) {
@@ -46,6 +46,27 @@
                            " run a1 " + prefix + "x soak - 1400");
   }
 
+  /// Adds a line of the log of the endpoint `alpha-0`, `rest` from the event on.
+  void Log(SteadyTime at, const std::string& rest) {
+    ledger.AddEndpointLine(std::to_string(at.time_since_epoch().count()) + " alpha-0 " + rest);
+  }
+
+  /// Adds a request of a router, and its run at `alpha-0`.
+  void RunOf(std::size_t router, const std::string& attempt, SteadyTime at) {
+    SoakRequest request;
+    request.attempt = attempt;
+    request.prefix = "/look/";
+    request.kind = RequestKind::kIdempotent;
+    request.timeout = 1'500ms;
+    request.router = router;
+    request.sent = at;
+    request.ended = at + 20ms;
+    request.complete = true;
+    request.status = 503;
+    ledger.Begin(request);
+    Log(at, "run " + attempt + " /look/x soak - 1400");
+  }
+
   [[nodiscard]] bool Breaks(const std::string& invariant) const {
     const std::vector<std::string> violations = ledger.Check(now + 30s, false);
     return std::any_of(violations.begin(), violations.end(), [&invariant](const std::string& text) {
@@ -168,3 +189,135 @@
   fixture.ledger.AddEndpointLine("1 alpha-0 run a2 /call/x soak - 1400");
   cr_assert(fixture.Breaks("foreign"));
 }
+
+// Guards against a soak that misses requests to an endpoint that leaves or has named a pause, and
+// against one that reports what the router could not know: from one answer, which it may have given
+// up, from the answers to another router, from those before a fault, or of an earlier process.
+Test(soak_ledger, finds_requests_to_endpoints_that_want_none) {
+  struct Case {
+    const char* announcement;
+    const char* invariant;
+    int announcements = 2;
+    std::size_t later_router = 0;
+    std::chrono::milliseconds later = 3s;
+    Ledger::Scope fault = {};
+    bool restarts = false;
+    bool is_violation = false;
+  };
+  const std::vector<Case> cases = {
+      {.announcement = "leave", .invariant = "leaving", .is_violation = true},
+      {.announcement = "leave", .invariant = "leaving", .announcements = 1},
+      {.announcement = "leave", .invariant = "leaving", .later_router = 1},
+      {.announcement = "leave", .invariant = "leaving", .later = 2s},
+      {.announcement = "leave", .invariant = "leaving", .later = 60s, .is_violation = true},
+      {.announcement = "leave", .invariant = "leaving", .fault = Ledger::RouterScope(0)},
+      {.announcement = "leave", .invariant = "leaving", .fault = Ledger::StopScope(0)},
+      {.announcement = "leave", .invariant = "leaving", .fault = "alpha-0"},
+      {.announcement = "leave",
+       .invariant = "leaving",
+       .fault = Ledger::kStore,
+       .is_violation = true},
+      {.announcement = "leave", .invariant = "leaving", .restarts = true},
+      {.announcement = "refuse", .invariant = "pause", .is_violation = true},
+      {.announcement = "refuse", .invariant = "pause", .announcements = 1},
+      {.announcement = "refuse", .invariant = "pause", .later_router = 1},
+      {.announcement = "refuse", .invariant = "pause", .later = 6s},
+      {.announcement = "refuse", .invariant = "pause", .restarts = true},
+  };
+  for (std::size_t i = 0; i < cases.size(); ++i) {
+    const Case& test = cases[i];
+    Fixture fixture;
+    for (int answer = 0; answer < test.announcements; ++answer) {
+      const std::string attempt = "b" + std::to_string(answer);
+      fixture.RunOf(0, attempt, kStart);
+      fixture.Log(kStart + 10ms, std::string(test.announcement) + " " + attempt + " 503 5000");
+    }
+    if (!test.fault.empty()) {
+      fixture.ledger.OnFaultBegin(test.fault, kStart + 1s);
+      fixture.ledger.OnFaultEnd(test.fault, kStart + 2s);
+    }
+    if (test.restarts) {
+      fixture.Log(kStart + 1s, "start warm");
+    }
+    cr_assert_not(fixture.Breaks(test.invariant), "case %zu", i);
+    fixture.RunOf(test.later_router, "c1", kStart + 10ms + test.later);
+    cr_assert_eq(fixture.Breaks(test.invariant), test.is_violation, "case %zu", i);
+  }
+}
+
+// Guards against a soak that misses requests to a zone that has been evacuated for longer than the
+// bound, or reports those before it, after its end, or of a router without the key-value service.
+Test(soak_ledger, finds_requests_to_evacuated_zones) {
+  struct Case {
+    std::string zone;
+    std::chrono::milliseconds at;
+    Ledger::Scope fault;
+    bool is_violation;
+  };
+  const std::vector<Case> cases = {
+      {"zone-2", 5'100ms, "", true},
+      {"zone-2", 4'900ms, "", false},
+      {"zone-2", 8'100ms, "", false},
+      {"zone-1", 5'100ms, "", false},
+      {"zone-2", 5'100ms, Ledger::kStore, false},
+      {"zone-2", 5'100ms, Ledger::RouterScope(0), false},
+      {"zone-2", 5'100ms, Ledger::RouterScope(1), true},
+  };
+  for (std::size_t i = 0; i < cases.size(); ++i) {
+    const Case& test = cases[i];
+    Fixture fixture;
+    fixture.ledger.OnEndpointStarted("alpha-0", "zone-2");
+    fixture.ledger.OnEvacuated(test.zone, kStart);
+    fixture.ledger.OnRestored(test.zone, kStart + 8s);
+    if (!test.fault.empty()) {
+      fixture.ledger.OnFaultBegin(test.fault, kStart + 1s);
+      fixture.ledger.OnFaultEnd(test.fault, kStart + 2s);
+    }
+    fixture.RunOf(0, "b1", kStart + test.at);
+    cr_assert_eq(fixture.Breaks("evacuated"), test.is_violation, "case %zu", i);
+  }
+}
+
+// Guards against a soak that misses a flood on a cold endpoint, or counts requests that were held
+// up on the way, that answer another process's name, or that come from a router with a fault.
+Test(soak_ledger, finds_floods_on_cold_endpoints) {
+  struct Case {
+    std::string start;
+    std::chrono::milliseconds from;
+    std::chrono::milliseconds gap;
+    Ledger::Scope fault;
+    bool is_violation;
+  };
+  // The limit is 8 in a second.
+  const std::vector<Case> cases = {
+      {"start cold", 2s, 100ms, "", true},
+      {"start cold", 2s, 130ms, "", false},
+      {"start warm", 2s, 100ms, "", false},
+      {"start cold", 500ms, 100ms, "", false},
+      {"start cold", 4s, 100ms, "", false},
+      {"start cold", 2s, 100ms, Ledger::HeldScope("alpha-0"), false},
+      {"start cold", 2s, 100ms, Ledger::RouterScope(0), false},
+      {"start cold", 2s, 100ms, Ledger::kStore, false},
+      {"start cold", 2s, 100ms, "alpha-0", true},
+  };
+  for (std::size_t i = 0; i < cases.size(); ++i) {
+    const Case& test = cases[i];
+    Fixture fixture;
+    fixture.Log(kStart, test.start);
+    if (!test.fault.empty()) {
+      fixture.ledger.OnFaultBegin(test.fault, kStart - 1s);
+      fixture.ledger.OnFaultEnd(test.fault, kStart);
+    }
+    for (int request = 0; request < 9; ++request) {
+      fixture.RunOf(0, "b" + std::to_string(request), kStart + test.from + request * test.gap);
+    }
+    cr_assert_eq(fixture.Breaks("cold"), test.is_violation, "case %zu", i);
+  }
+  Fixture fixture;
+  fixture.Log(kStart, "start cold");
+  for (int request = 0; request < 9; ++request) {
+    fixture.Send("/look/", RequestKind::kIdempotent, 200);
+    fixture.Log(kStart + 2s, "refuse a1 421 0");
+  }
+  cr_assert_not(fixture.Breaks("cold"), "requests that were answered with 421 do not count");
+}
