Keep the records that routers write in the soak

Cause: DeploymentStoreWire::ParsePuts iterated over a part of a temporary document. Change: the document outlives the loop.

--- a/tests/soak/deployment_wire.cc
+++ b/tests/soak/deployment_wire.cc
@@ -80,7 +80,9 @@
 
 std::vector<platform::KeyValueWrite> DeploymentStoreWire::ParsePuts(const std::string& body) const {
   std::vector<platform::KeyValueWrite> writes;
-  for (const json& put : json::parse(body).at("Puts")) {
+  // The document must outlive the loop.
+  const json document = json::parse(body);
+  for (const json& put : document.at("Puts")) {
     platform::KeyValueWrite& write = writes.emplace_back();
     write.key = put.at("Key").get<std::string>();
     if (!absl::Base64Unescape(put.at("Value").get<std::string>(), &write.value)) {
--- a/tests/unit/soak_ledger_test.cc
+++ b/tests/unit/soak_ledger_test.cc
@@ -3,7 +3,9 @@
 #include <string>
 #include <vector>
 
+#include "platform/adapter.h"
 #include "soak/answer_text.h"
+#include "soak/deployment_wire.h"
 #include "soak/ledger.h"
 
 // Included last because its macros break the headers of Abseil.
@@ -321,3 +323,19 @@
   }
   cr_assert_not(fixture.Breaks("cold"), "requests that were answered with 421 do not count");
 }
+
+// Guards against a key-value service of the soak that drops what the routers write, so that each
+// router takes itself for the only one.
+Test(soak_wire, reads_what_routers_write) {
+  const auto adapter = adapter::MakeAdapter();
+  const std::vector<platform::KeyValueWrite> writes = {{.key = "routers/a", .value = "zone-1"},
+                                                       {.key = "routers/b", .value = ""}};
+  const std::string request = adapter->Codec().PutRequest(writes, 7);
+  const soak::DeploymentStoreWire wire;
+  const auto read = wire.ParsePuts(request.substr(request.find("\r\n\r\n") + 4));
+  cr_assert_eq(read.size(), writes.size());
+  for (std::size_t i = 0; i < writes.size(); ++i) {
+    cr_assert_eq(read[i].key, writes[i].key);
+    cr_assert_eq(read[i].value, writes[i].value);
+  }
+}
