Decide which requests to refuse while a service can't serve all

Change: AdmissionControl limits the work that a router admits to a part of the work that ends while requests are late, and raises the limit in steps. The limit is divided by priority; within one, organisations that have used more work than an equal share are refused first (OrganisationDemand), and callers that return as told go before new ones. It refuses only while half of the slots are taken, requests wait or an endpoint has refused as full. Retry-After follows from the rate at which requests end. Four mutants fail their tests.

--- a/tests/unit/mutants_test.sh
+++ b/tests/unit/mutants_test.sh
@@ -22,6 +22,10 @@
   [forwarder_retries_at_closed_endpoints]=forward_evacuation/gets_no_retry_and_no_continued_stream
   [forwarder_ignores_cold_endpoints]=forward_evacuation/leaves_cold_endpoints_that_take_few_requests
   [forwarder_cold_rate_per_router]=cold_start/keeps_the_limit_at_all_sizes_of_a_fleet
+  [admission_ignores_priority]=admission_control/refuses_less_urgent_requests_first
+  [admission_shares_by_requests]=admission_control/shares_by_work
+  [admission_has_constant_retry_after]=admission_control/names_times_by_the_rate_of_ends
+  [admission_refuses_while_slots_are_free]=admission_control/refuses_nothing_while_slots_are_free
   [forwarder_closes_new_connections]=forward_stop/answers_the_first_request_of_a_new_connection
 )
 passed=0
