Refuse requests before they are sent in a shortage of capacity

Cause: AdmissionControl was not used. Change: FindEndpoints asks it after the ranking, where the setting balancing.admission is on, or is auto and the adapter says by the rule sets that callers compete for capacity. Retries and continued streams are not asked. Load reports, first events, ends and refusals of full endpoints are passed on to it; a request that all endpoints refuse as full gets its Retry-After. Result: without the setting no code of it runs, apart from null checks.

--- a/src/forward/deployment_adapter.h
+++ b/src/forward/deployment_adapter.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -51,6 +52,9 @@
   /// \brief Returns the prefix of the records that routers write for each other.
   [[nodiscard]] virtual std::string_view RouterPrefix() const noexcept = 0;
 
+  /// \brief Returns whether these rule sets say that callers compete for insufficient capacity.
+  [[nodiscard]] virtual bool HasContention(std::span<const std::string> rule_sets) const = 0;
+
   /// \brief Decodes a configuration. Throws MalformedConfiguration.
   [[nodiscard]] virtual std::shared_ptr<const RoutingConfiguration> DecodeConfiguration(
       std::string_view value) const = 0;
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "balancing/admission_control.h"
 #include "balancing/endpoint_registry.h"
 #include "balancing/prompt_quarantine.h"
 #include "balancing/request_cost.h"
@@ -68,6 +69,10 @@
   balancing::TrafficShare traffic_share;
   /// Costs of the requests by service.
   std::map<std::string, balancing::RequestCosts, std::less<>> request_costs;
+  /// Whether requests are refused while their service can't serve all in time.
+  bool has_admission_control = false;
+  /// By service; empty without admission control.
+  std::map<std::string, balancing::AdmissionControl, std::less<>> admission{};
   /// Retry budgets by service.
   std::map<std::string, requests::RetryBudget, std::less<>> retry_budgets;
   CrashDetector crashes;
--- a/src/forward/forward_task.cc
+++ b/src/forward/forward_task.cc
@@ -63,6 +63,7 @@
     CancelAttempt(m_current);
   }
   CancelSetAside();
+  EndAdmission(false);
   m_context.answer_memory.Release(m_counted_memory);
 }
 
@@ -270,6 +271,9 @@
     Refuse(detail::kStatusUnavailable, FailureReason::kNoEndpoint, kRetryWhenNotReady);
     return false;
   }
+  if (!CheckAdmission(ranked, cost)) {
+    return false;
+  }
   if (ranking.prompt) {
     m_context.metrics
         .GetCounter(m_at_home ? "forward_prompts_total{placed=\"home\"}"
--- a/src/forward/forward_task.h
+++ b/src/forward/forward_task.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "balancing/admission_control.h"
 #include "balancing/endpoint_ranking.h"
 #include "balancing/prompt.h"
 #include "core/log.h"
@@ -104,6 +105,14 @@
   /// Whether endpoints crash under the request's prompt.
   [[nodiscard]] bool IsQuarantined() const;
   [[nodiscard]] bool FindEndpoints();
+  /// Refuses a request that would be late, or make more urgent ones late. `cost` is its work by the
+  /// caller's token counts.
+  [[nodiscard]] bool CheckAdmission(const balancing::Ranking& ranked, double cost);
+  void RefuseAdmission(const balancing::AdmissionDecision& decision, double work, double occupancy);
+  /// Logs and shows that refusals for a shortage of capacity begin or end.
+  void ReportShortage(bool was_limiting, SteadyTime now);
+  /// Ends the part of the request in the admission control.
+  void EndAdmission(bool is_served);
   void ReadDeadline();
   /// Refuses a request that arrives late in a planned stop, if it may be cut at the end of the
   /// stop.
@@ -201,12 +210,19 @@
 
   /// \name Response to the caller
   /// @{
+  /// Refuses with a random time around `retry_after`, if there is one.
   void Refuse(int status, requests::FailureReason reason,
               std::optional<std::chrono::milliseconds> retry_after = std::nullopt);
+  /// Refuses with this time exactly, if there is one.
+  void RefuseUntil(int status, requests::FailureReason reason,
+                   std::optional<std::chrono::milliseconds> retry_after);
   void Finish(const router::Step& step);
   void FinishNotRun(requests::FailureReason reason);
   /// Returns the Retry-After for a caller whose request can be sent after `wait`.
   [[nodiscard]] static std::chrono::milliseconds RetryAfterWait(std::chrono::nanoseconds wait);
+  /// Returns the Retry-After for a request that all endpoints have refused as full; empty if the
+  /// time is too long for the caller.
+  [[nodiscard]] std::optional<std::chrono::milliseconds> WaitWhenFull() const;
   /// Returns the time until an endpoint of the service takes a request; 0 if there is none.
   [[nodiscard]] std::chrono::nanoseconds EndpointWait() const;
   void Close(int status, std::string_view outcome, requests::FailureReason reason);
@@ -238,6 +254,11 @@
   double m_mean_load = 0;
   balancing::TypicalLoad m_typical_load;
 
+  /// Null without admission control.
+  balancing::AdmissionControl* m_admission = nullptr;
+  /// Empty before the request is admitted, and after its end.
+  std::optional<balancing::AdmissionTicket> m_admission_ticket;
+
   std::optional<router::RequestDecision> m_decision;
   /// Fires at the deadline; before the admission, polls for the first configuration.
   net::Timer m_deadline_timer;
--- a/src/forward/forward_task_answer.cc
+++ b/src/forward/forward_task_answer.cc
@@ -260,6 +260,9 @@
   m_current.last_event_at = now;
   if (m_events == 0) {
     m_first_event_at = now;
+    if (m_admission_ticket) {
+      m_admission->OnFirstEvent(*m_admission_ticket, now);
+    }
     m_context.metrics.GetDuration("forward_first_event_seconds")
         .Record(m_first_event_at - m_request.received_at);
   }
@@ -338,6 +341,9 @@
       CountAttempt("refused");
       endpoint->health.OnInconclusive();
       endpoint->full_until = now + kFullBackoff;
+      if (m_admission != nullptr && m_current.answer_head.status != detail::kStatusBadRequest) {
+        m_admission->OnEndpointFull(now);
+      }
       LogFailedAttempt(endpoint, requests::ToText(FailureReason::kOverBound),
                        {"status", m_current.answer_head.status});
       RunStep(m_decision->OnRefused(
--- a/src/forward/forward_task_head.cc
+++ b/src/forward/forward_task_head.cc
@@ -56,6 +56,9 @@
   const auto report = ParseLoad(http::FindHeader(head.headers, m_context.names.load));
   if (report) {
     m_current.connection->endpoint->load.OnReport(*report, m_context.clock.Now());
+    if (m_admission != nullptr) {
+      m_admission->OnReport(*report, m_context.clock.Now());
+    }
   }
 }
 
--- a/src/forward/forward_task_response.cc
+++ b/src/forward/forward_task_response.cc
@@ -74,16 +74,26 @@
   if (m_done) {
     return;
   }
+  if (retry_after) {
+    // Randomised, so that callers that were refused together do not retry at the same time.
+    const auto spread = static_cast<std::uint64_t>(retry_after->count());
+    retry_after =
+        *retry_after / 2 + std::chrono::milliseconds(m_context.random.NextBelow(spread + 1));
+  }
+  RefuseUntil(status, reason, retry_after);
+}
+
+void ForwardTask::RefuseUntil(int status, FailureReason reason,
+                              std::optional<std::chrono::milliseconds> retry_after) {
+  if (m_done) {
+    return;
+  }
   std::vector<http::Header> headers;
   if (!m_id.empty()) {
     headers.push_back({m_context.names.attempt_id, std::string(m_id)});
   }
   if (retry_after) {
-    // Randomised, so that callers that were refused together do not retry at the same time.
-    const auto spread = static_cast<std::uint64_t>(retry_after->count());
-    headers.push_back({"Retry-After", SecondsText(*retry_after / 2 +
-                                                  std::chrono::milliseconds(
-                                                      m_context.random.NextBelow(spread + 1)))});
+    headers.push_back({"Retry-After", SecondsText(*retry_after)});
   }
   if (m_sink != nullptr) {
     m_sink->Respond(status, headers, {});
@@ -139,11 +149,26 @@
   return shortest.value_or(0ns);
 }
 
+std::optional<std::chrono::milliseconds> ForwardTask::WaitWhenFull() const {
+  const std::chrono::nanoseconds time_left = TimeLeft();
+  const auto capacity_wait =
+      m_admission->RetryAfter(time_left, m_context.clock.Now(), m_context.random);
+  const std::chrono::nanoseconds endpoint_wait = EndpointWait();
+  if (!capacity_wait || endpoint_wait > time_left / balancing::kRetryTimeDivisor) {
+    return std::nullopt;
+  }
+  return std::chrono::floor<std::chrono::milliseconds>(std::max(*capacity_wait, endpoint_wait));
+}
+
 void ForwardTask::FinishNotRun(FailureReason reason) {
   if (reason == FailureReason::kMalformedRequest) {
     Refuse(requests::HttpStatus(reason), reason);
     return;
   }
+  if (reason == FailureReason::kOverBound && m_admission != nullptr) {
+    RefuseUntil(detail::kStatusUnavailable, reason, WaitWhenFull());
+    return;
+  }
   std::optional<std::chrono::milliseconds> retry_after = RetryAfterWait(EndpointWait());
   if (reason == FailureReason::kDeadlineExceeded) {
     retry_after.reset();
@@ -156,6 +181,7 @@
 void ForwardTask::Close(int status, std::string_view outcome, FailureReason reason) {
   m_done = true;
   CancelSetAside();
+  EndAdmission(outcome == requests::ToText(Outcome::kResult));
   m_context.answer_memory.Release(std::exchange(m_counted_memory, 0));
   m_deadline_timer.Cancel();
   m_silence_timer.Cancel();
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -50,6 +50,19 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(time * fraction);
 }
 
+bool HasAdmissionControl(const settings::ForwarderSettings& settings,
+                         const DeploymentAdapter& adapter) {
+  switch (settings.balancing.admission) {
+    case settings::FeatureMode::kOn:
+      return true;
+    case settings::FeatureMode::kOff:
+      return false;
+    case settings::FeatureMode::kAuto:
+      return adapter.HasContention(settings.rule_sets);
+  }
+  return false;
+}
+
 /// Returns the prefix under which one watch covers both keys: each call of the key-value service
 /// has its price, and the routers of a large fleet make most of them.
 std::string CommonPrefix(std::string_view left, std::string_view right) {
@@ -204,6 +217,8 @@
                 .configuration = {},
                 .traffic_share = {},
                 .request_costs = {},
+                .has_admission_control = HasAdmissionControl(settings, adapter),
+                .admission = {},
                 .retry_budgets = {},
                 .crashes = CrashDetector(loop,
                                          [this](const balancing::EndpointPtr& endpoint,
--- a/src/forward/log_events.h
+++ b/src/forward/log_events.h
@@ -45,6 +45,9 @@
 inline constexpr LogEvent kZoneEvacuated{2242, LogLevel::kInfo, "zone_evacuated"};
 inline constexpr LogEvent kZoneRestored{2243, LogLevel::kInfo, "zone_restored"};
 inline constexpr LogEvent kEndpointCold{2244, LogLevel::kInfo, "endpoint_cold"};
+inline constexpr LogEvent kAdmissionRefused{2260, LogLevel::kInfo, "admission_refused"};
+inline constexpr LogEvent kShortageBegan{2261, LogLevel::kWarn, "shortage_began"};
+inline constexpr LogEvent kShortageEnded{2262, LogLevel::kInfo, "shortage_ended"};
 
 }  // namespace wagtailwind::forward
 
--- a/tests/support/forwarder_fixture.h
+++ b/tests/support/forwarder_fixture.h
@@ -1,6 +1,7 @@
 #ifndef WAGTAILWIND_TESTS_SUPPORT_FORWARDER_FIXTURE_H_
 #define WAGTAILWIND_TESTS_SUPPORT_FORWARDER_FIXTURE_H_
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <list>
@@ -56,6 +57,11 @@
   [[nodiscard]] std::string_view EvacuationPrefix() const noexcept override { return "evacuated/"; }
   [[nodiscard]] std::string_view RouterPrefix() const noexcept override { return "router/"; }
 
+  /// \brief Callers compete for capacity under the rule set `scarcity`.
+  [[nodiscard]] bool HasContention(std::span<const std::string> rule_sets) const override {
+    return std::find(rule_sets.begin(), rule_sets.end(), "scarcity") != rule_sets.end();
+  }
+
   /// \brief Returns the entry of `configurations` with the name `value`.
   [[nodiscard]] std::shared_ptr<const forward::RoutingConfiguration> DecodeConfiguration(
       std::string_view value) const override;
