Correct comments on the constants of admission control

Cause: they named a former rule and gave no reason for the rise of the limit. Change: comments only.

--- a/src/balancing/admission_control.cc
+++ b/src/balancing/admission_control.cc
@@ -25,12 +25,13 @@
 // hold the limit down.
 constexpr double kMaxLateness = 3.0;
 
-// Weight and value of what is assumed before the first delays: one request in time.
+// Weight, in requests, and value of what is assumed before the first delays.
 constexpr double kPriorWeight = 0.5;
 constexpr double kPriorLateness = 0.3;
 
-// The limit is adjusted at this interval, and raised by up to this fraction of the demand. Raising
-// it from nothing to all takes at least 2.5 s.
+// The limit is adjusted at this interval, and raised by up to the first fraction of the demand, or
+// by the second while slots are free. With 0.1 in both cases, queues built up again before the
+// delays showed it, and the most urgent requests kept 0.06 less of their worth in the queue model.
 constexpr std::chrono::milliseconds kAdjustInterval = 250ms;
 constexpr double kIncrease = 0.04;
 constexpr double kIncreaseWhileFree = 0.1;
@@ -65,7 +66,7 @@
 constexpr double kMaxCredit = 2.5;
 
 // A priority or organisation of which a smaller fraction is admitted, relative to all requests, is
-// admitted whatever the balance is. A quarter would count as starved.
+// admitted whatever the limit is. A quarter would count as starved.
 constexpr double kMinServed = 0.27;
 // Requests from which such a fraction has a meaning.
 constexpr double kMinArrived = 3.0;
