--- a/src/forward/forward_task_head.cc
+++ b/src/forward/forward_task_head.cc
@@ -60,6 +60,9 @@
   }
   balancing::Endpoint& endpoint = *m_current.connection->endpoint;
   endpoint.load.OnReport(*report, m_context.clock.Now());
+  if (m_admission != nullptr) {
+    m_admission->OnReport(*report, m_context.clock.Now());
+  }
   if (report->pace) {
     endpoint.performance.OnPace(*report->pace, m_context.clock.Now());
     m_context.metrics.GetCounter("forward_pace_reports_total{result=\"used\"}").Add();
--- a/tests/unit/mutants_test.sh
+++ b/tests/unit/mutants_test.sh
@@ -32,6 +32,10 @@
   [forwarder_never_forgets_speeds]=performance_estimate/forgets_a_reading_within_two_seconds
   [forwarder_ignores_paces]=performance_estimate/sends_calls_where_the_delay_is_low
   [forwarder_takes_unknown_pace_as_fast]=performance_estimate/takes_an_unknown_pace_as_typical
+  [admission_ignores_priority]=admission_control/refuses_less_urgent_requests_first
+  [admission_shares_by_requests]=admission_control/shares_by_work
+  [admission_has_constant_retry_after]=admission_control/names_times_by_the_rate_of_ends
+  [admission_refuses_while_slots_are_free]=admission_control/refuses_nothing_while_slots_are_free
   [forwarder_closes_new_connections]=forward_stop/answers_the_first_request_of_a_new_connection
 )
 passed=0
