Test at the socket of an endpoint which fields callers can't set

Cause: that callers can't set the router's fields was tested on the parser and on parsed requests, which hide what a more lenient endpoint would read. Mutant forwarder_passes_on_reserved_fields. No fault found.

--- a/src/forward/forward_task_attempts.cc
+++ b/src/forward/forward_task_attempts.cc
@@ -132,7 +132,9 @@
   };
   for (const http::Header& header : EndToEndHeaders(m_request.head.headers)) {
     const bool replaced = m_last_event_id && http::SameName(header.name, kLastEventId);
-    if (!replaced && !is_reserved(header.name)) {
+    const bool is_kept =
+        !is_reserved(header.name) || IsMutantEnabled("forwarder_passes_on_reserved_fields");
+    if (!replaced && is_kept) {
       add(header.name, header.value);
     }
   }
--- a/tests/unit/mutants_test.sh
+++ b/tests/unit/mutants_test.sh
@@ -28,6 +28,7 @@
   [forwarder_retries_at_closed_endpoints]=forward_evacuation/gets_no_retry_and_no_continued_stream
   [forwarder_ignores_cold_endpoints]=forward_evacuation/leaves_cold_endpoints_that_take_few_requests
   [forwarder_cold_rate_per_router]=cold_start/keeps_the_limit_at_all_sizes_of_a_fleet
+  [forwarder_passes_on_reserved_fields]=forward_reserved_fields/of_callers_do_not_reach_endpoints
   [forwarder_closes_new_connections]=forward_stop/answers_the_first_request_of_a_new_connection
 )
 passed=0
