Bound what a router holds for slow callers and endpoints

A broken answer reset the caller's connection at once and so discarded up to 256 KiB that had arrived, and what the kernel still held. An answer whose last part exceeded the queue limit left its pooled connection unread, so that the next call on it waited until its deadline.

Change: the kernel takes 128 KiB of unsent bytes for a connection, 16 KiB while memory is short. Sessions count finished responses, requests count what is queued for endpoints, and detached requests keep their reservation. Requests are refused unread while the answers exceed 1.5 times their part of the memory. A broken answer ends with a reset when the caller's kernel has all bytes, or makes no progress for 3 s. Reading resumes before a connection returns to the pool.

--- a/src/forward/caller_session.cc
+++ b/src/forward/caller_session.cc
@@ -1,5 +1,6 @@
 #include "forward/caller_session.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "core/mutant.h"
@@ -29,12 +30,24 @@
 // resets it, which can discard the response.
 constexpr std::chrono::milliseconds kLingerTime = 500ms;
 
+// Unsent bytes that the kernel holds for a caller while the process holds too many answers.
+constexpr std::size_t kMinUnsentBytes = 16U << 10U;
+
+// A reset discards what the caller's kernel has not received. Until that has received all bytes of
+// an aborted response, it is polled, as long as it makes progress within this time.
+constexpr std::chrono::milliseconds kDeliveryPollInterval = 20ms;
+constexpr std::chrono::milliseconds kMaxDeliveryPause = 3'000ms;
+
 constexpr int kRequestTimeout = 408;
 constexpr int kBadRequest = 400;
 constexpr int kBodyTooLarge = 413;
 constexpr int kHeadTooLarge = 431;
 constexpr int kUnavailable = 503;
 
+std::string_view RefusalReason(int status) {
+  return status == kUnavailable ? "too many bytes are held" : "body refused";
+}
+
 }  // namespace
 
 CallerSession::CallerSession(net::EventLoop& loop, const Clock& clock, SessionHost& host,
@@ -48,6 +61,7 @@
       m_parser(http1::MessageParser::Kind::kRequest, *this, m_limits.max_head_bytes),
       m_timer(loop, [this] { OnTimeout(); }) {
   m_stream.Accept(listener);
+  m_stream.SetUnsentLimit(net::TcpStream::kRouterUnsentLimit);
   m_stream.StartReading();
   StartReadTimer();
 }
@@ -55,6 +69,7 @@
 CallerSession::~CallerSession() {
   *m_alive = false;
   m_host.ReleaseBody(m_reserved);
+  CountResponses(0);
 }
 
 void CallerSession::CloseWhenIdle() {
@@ -90,12 +105,17 @@
     Refuse(kRequestTimeout, "request was not completed in time");
     return;
   }
+  if (m_is_aborting) {
+    CheckDelivery();
+    return;
+  }
   if (m_phase == Phase::kHandling && !m_waits_for_drain) {
     return;
   }
   // A slow caller may take its time to read a response, but it has to make progress.
   const std::size_t queued = m_stream.QueuedBytes();
   if (queued > 0 && queued < std::exchange(m_queued_before, queued)) {
+    CountResponses(m_stream.HeldBytes());
     m_timer.Start(m_limits.idle_timeout);
     return;
   }
@@ -133,7 +153,7 @@
       return;
     case http1::MessageParser::State::kMessageComplete:
       if (m_refusal != 0) {
-        Refuse(m_refusal, "body refused");
+        Refuse(m_refusal, RefusalReason(m_refusal));
         return;
       }
       StartTask();
@@ -142,7 +162,7 @@
       break;
   }
   if (m_refusal != 0) {
-    Refuse(m_refusal, "body refused");
+    Refuse(m_refusal, RefusalReason(m_refusal));
     return;
   }
   if (!began && m_parser.InMessage()) {
@@ -159,7 +179,11 @@
   if (!m_request.head.http_1_1) {
     // HTTP/1.0 has no chunked encoding, so a complete response can't be told from a truncated one.
     m_refusal = kBadRequest;
+  } else if (!m_host.ReserveBody(0)) {
+    m_refusal = kUnavailable;
+    return true;
   }
+  m_request.body.reserve(static_cast<std::size_t>(m_request.head.content_length.value_or(0)));
   // The body must arrive within the idle timeout.
   m_timer.Start(m_limits.idle_timeout);
   if (http::FindHeader(m_request.head.headers, "Expect") == "100-continue") {
@@ -202,6 +226,8 @@
   m_timer.Cancel();
   m_keep_alive = m_request.head.keep_alive;
   m_is_head_request = m_request.head.method == "HEAD";
+  // The task counts what is queued for the caller while it runs.
+  CountResponses(0);
   m_task = m_host.MakeTask(std::exchange(m_request, {}), *this);
   m_task->Start();
 }
@@ -266,12 +292,56 @@
   ResponseDone();
 }
 
+void CallerSession::SaveMemory() { m_stream.SetUnsentLimit(kMinUnsentBytes); }
+
 void CallerSession::Abort() {
   m_stream.ResetOnClose();
-  End();
+  m_queued_before = m_stream.QueuedBytes() + m_stream.UnacknowledgedBytes();
+  if (m_queued_before == 0 || IsMutantEnabled("forwarder_drops_undelivered_bytes")) {
+    End();
+    return;
+  }
+  m_phase = Phase::kClosing;
+  m_is_aborting = true;
+  m_progress_at = m_clock.Now();
+  CountResponses(m_stream.HeldBytes());
+  m_timer.Start(kDeliveryPollInterval);
+  // Deferred, because the task calls this function.
+  m_loop.Post([this, alive = m_alive] {
+    if (*alive) {
+      ReleaseTask();
+    }
+  });
+}
+
+void CallerSession::CheckDelivery() {
+  const std::size_t left = m_stream.QueuedBytes() + m_stream.UnacknowledgedBytes();
+  const SteadyTime now = m_clock.Now();
+  if (left < std::exchange(m_queued_before, left)) {
+    m_progress_at = now;
+  }
+  const auto max_pause = std::min(kMaxDeliveryPause, m_limits.idle_timeout);
+  if (left == 0 || now - m_progress_at >= max_pause) {
+    End();
+    return;
+  }
+  CountResponses(m_stream.HeldBytes());
+  m_timer.Start(kDeliveryPollInterval);
+}
+
+void CallerSession::CountResponses(std::size_t held) {
+  if (!IsMutantEnabled("forwarder_ignores_finished_answers")) {
+    m_host.ResizeResponses(std::exchange(m_counted_responses, held), held);
+  }
+}
+
+void CallerSession::ReleaseTask() {
+  m_task.reset();
+  m_host.ReleaseBody(std::exchange(m_reserved, 0));
 }
 
 void CallerSession::ResponseDone() {
+  CountResponses(m_stream.HeldBytes());
   // Deferred, because the task that calls this function is destroyed in NextRequest().
   m_loop.Post([this, alive = m_alive] {
     if (*alive && !m_ended) {
@@ -281,8 +351,7 @@
 }
 
 void CallerSession::NextRequest() {
-  m_task.reset();
-  m_host.ReleaseBody(std::exchange(m_reserved, 0));
+  ReleaseTask();
   m_queued_before = m_stream.QueuedBytes();
   if (!m_keep_alive || m_close_when_idle) {
     m_phase = Phase::kClosing;
@@ -309,6 +378,12 @@
 }
 
 void CallerSession::OnDrained() {
+  if (m_is_aborting) {
+    return;
+  }
+  if (m_phase != Phase::kHandling || m_waits_for_drain) {
+    CountResponses(0);
+  }
   if (m_phase == Phase::kClosing && !m_ended) {
     m_timer.Start(kLingerTime);
   } else if (std::exchange(m_waits_for_drain, false)) {
@@ -324,7 +399,7 @@
 
 void CallerSession::HandleDisconnect() {
   if (m_phase == Phase::kHandling && m_task && !m_ended && m_task->OnCallerDisconnected()) {
-    m_host.KeepDetached(std::move(m_task));
+    m_host.KeepDetached(std::move(m_task), std::exchange(m_reserved, 0));
   }
   End();
 }
--- a/src/forward/caller_session.h
+++ b/src/forward/caller_session.h
@@ -32,12 +32,17 @@
   /// request.
   [[nodiscard]] virtual bool ClosesConnections() const = 0;
 
-  /// \brief Reserves memory for request bodies; false if the process already holds too much.
+  /// \brief Reserves memory for a request, whose body grows by `bytes`; false if the process
+  /// already holds too much.
   [[nodiscard]] virtual bool ReserveBody(std::size_t bytes) = 0;
   virtual void ReleaseBody(std::size_t bytes) noexcept = 0;
 
-  /// \brief Keeps a task whose caller has disconnected alive until the task ends by itself.
-  virtual void KeepDetached(std::unique_ptr<RequestTask> task) = 0;
+  /// \brief Records that the bytes of finished responses which a session holds have changed.
+  virtual void ResizeResponses(std::size_t before, std::size_t after) noexcept = 0;
+
+  /// \brief Keeps a task whose caller has disconnected alive until the task ends by itself. The
+  /// host then releases the `reserved` bytes of its request.
+  virtual void KeepDetached(std::unique_ptr<RequestTask> task, std::size_t reserved) = 0;
 
   /// \brief Called when the session has ended; it may be destroyed after the current event.
   virtual void OnSessionEnd(CallerSession& session) = 0;
@@ -78,6 +83,8 @@
   void EndStream() override;
   void Abort() override;
   [[nodiscard]] std::size_t QueuedBytes() const override { return m_stream.QueuedBytes(); }
+  [[nodiscard]] std::size_t HeldBytes() const override { return m_stream.HeldBytes(); }
+  void SaveMemory() override;
 
   /// Parses the next bytes of a request and keeps those after its end in m_pending.
   void Parse(std::string_view data);
@@ -86,6 +93,11 @@
   void OnTimeout();
   void ResponseDone();
   void NextRequest();
+  void ReleaseTask();
+  /// Sets the bytes for which the session counts in the process's memory.
+  void CountResponses(std::size_t held);
+  /// Ends an aborted response once the caller has received what was written.
+  void CheckDelivery();
   /// Closes the connection when the caller has had time to read what is queued for it.
   void BeginClose();
   void HandleDisconnect();
@@ -122,6 +134,12 @@
   bool m_waits_for_drain = false;
   /// Bytes that were queued for the caller when the timer was last checked.
   std::size_t m_queued_before = 0;
+  /// Bytes of finished responses for which the session counts in the process's memory.
+  std::size_t m_counted_responses = 0;
+  /// The response ends with a reset once the caller has received what was written.
+  bool m_is_aborting = false;
+  /// Time at which the caller last received bytes of an aborted response.
+  SteadyTime m_progress_at{};
   int m_refusal = 0;
   bool m_ended = false;
   std::unique_ptr<RequestTask> m_task;
--- a/src/forward/forward_task.h
+++ b/src/forward/forward_task.h
@@ -157,6 +157,7 @@
   /// @{
   [[nodiscard]] bool UpdateRequest(std::string& request) override;
   void OnSending() override;
+  void OnWriteProgress() override { CountMemory(); }
   [[nodiscard]] bool OnResponseHead(http1::MessageHead head) override;
   void OnResponseBody(std::string_view part) override;
   void OnResponseEnd(bool reusable) override;
@@ -190,6 +191,8 @@
   [[nodiscard]] bool HasTooManyUnreadBytes() const noexcept;
   /// Updates the memory that this request counts for in the process's budget.
   void CountMemory();
+  /// Returns the bytes of an attempt's request that are held until its endpoint reads them.
+  [[nodiscard]] static std::size_t HeldRequestBytes(const Attempt& attempt) noexcept;
   void FinishAnswer();
   /// Handles an error response to a request that the endpoint has run.
   void FinishFailure(const balancing::EndpointPtr& endpoint);
--- a/src/forward/forward_task_answer.cc
+++ b/src/forward/forward_task_answer.cc
@@ -218,12 +218,16 @@
 }
 
 void ForwardTask::PassOn(std::string_view bytes) {
+  std::size_t limit = kMaxQueuedBytes;
+  if (m_context.answer_memory.IsExhausted()) {
+    limit = kMinQueuedBytes;
+    m_sink->SaveMemory();
+  }
   m_sink->StreamPart(bytes);
-  const std::size_t limit =
-      m_context.answer_memory.IsExhausted() ? kMinQueuedBytes : kMaxQueuedBytes;
   if (m_sink->QueuedBytes() > limit && !m_current.reading_paused &&
       !IsMutantEnabled("forwarder_ignores_slow_callers")) {
     m_current.reading_paused = true;
+    m_context.metrics.GetCounter("forward_reading_pauses_total").Add();
     m_current.connection->connection->StopReading();
     m_silence_timer.Cancel();
   }
@@ -232,10 +236,16 @@
 void ForwardTask::CountMemory() {
   const std::size_t held = m_current.answer_body.size() + m_current.framer.Rest().size() +
                            (m_set_aside ? m_set_aside->answer_body.size() : 0) +
-                           (m_sink != nullptr ? m_sink->QueuedBytes() : 0);
+                           (m_sink != nullptr ? m_sink->HeldBytes() : 0) +
+                           HeldRequestBytes(m_current) +
+                           (m_set_aside ? HeldRequestBytes(*m_set_aside) : 0);
   m_context.answer_memory.Resize(std::exchange(m_counted_memory, held), held);
 }
 
+std::size_t ForwardTask::HeldRequestBytes(const Attempt& attempt) noexcept {
+  return attempt.connection ? attempt.connection->connection->HeldBytes() : 0;
+}
+
 void ForwardTask::PinAttempt() {
   m_is_pinned = true;
   m_decision->OnBytesToCaller();
@@ -313,6 +323,10 @@
   m_current.connection.reset();
   connection.endpoint->load.OnEnded();
   const balancing::EndpointPtr endpoint = connection.endpoint;
+  if (m_current.reading_paused && !IsMutantEnabled("forwarder_keeps_finished_answers_paused")) {
+    // The last part of the answer exceeded the limit; the next call on the connection is read.
+    connection.connection->StartReading();
+  }
   if (reusable) {
     m_context.pool.Release(
         std::move(connection),
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -35,6 +35,11 @@
 constexpr std::uint64_t kBodyMemoryDivisor = 4;
 constexpr std::uint64_t kAnswerMemoryDivisor = 4;
 
+// Each answer that begins while the part for answers is used up still adds what was read at once.
+// Above this percentage of the part, requests are refused before they are read.
+constexpr std::uint64_t kMaxAnswerPercent = 150;
+constexpr std::uint64_t kPercent = 100;
+
 // Pause of the watch after changes of endpoints, as a fraction of the drain bound, after which a
 // draining endpoint must get no more requests. Because of the pause, one call returns several
 // changes of a busy pool. The rest of the bound allows for a slow response and a lost connection.
@@ -73,7 +78,8 @@
   [[nodiscard]] bool ClosesConnections() const override { return false; }
   [[nodiscard]] bool ReserveBody(std::size_t) override { return true; }
   void ReleaseBody(std::size_t) noexcept override {}
-  void KeepDetached(std::unique_ptr<RequestTask>) override {}
+  void ResizeResponses(std::size_t, std::size_t) noexcept override {}
+  void KeepDetached(std::unique_ptr<RequestTask>, std::size_t) override {}
   void OnSessionEnd(CallerSession& session) override { m_sessions.Remove(session); }
   void OnUnreadRequest(int, std::string_view) override {}
 
@@ -121,7 +127,9 @@
   explicit CallerHost(Forwarder& forwarder)
       : m_sessions(forwarder.m_context.loop, forwarder.m_context.clock),
         m_forwarder(forwarder),
-        m_body_memory(forwarder.m_settings.memory_bytes / kBodyMemoryDivisor) {}
+        m_body_memory(forwarder.m_settings.memory_bytes / kBodyMemoryDivisor),
+        m_max_answer_memory(forwarder.m_settings.memory_bytes / kAnswerMemoryDivisor *
+                            kMaxAnswerPercent / kPercent) {}
 
   [[nodiscard]] std::unique_ptr<RequestTask> MakeTask(CallerRequest request,
                                                       ResponseSink& sink) override {
@@ -137,13 +145,22 @@
   [[nodiscard]] bool ClosesConnections() const override { return !m_forwarder.IsReady(); }
 
   [[nodiscard]] bool ReserveBody(std::size_t bytes) override {
-    return m_body_memory.TryReserve(bytes);
+    const bool holds_too_much = m_forwarder.m_context.answer_memory.used() >= m_max_answer_memory &&
+                                !IsMutantEnabled("forwarder_takes_requests_without_memory");
+    return !holds_too_much && m_body_memory.TryReserve(bytes);
   }
   void ReleaseBody(std::size_t bytes) noexcept override { m_body_memory.Release(bytes); }
 
-  void KeepDetached(std::unique_ptr<RequestTask> task) override {
+  void ResizeResponses(std::size_t before, std::size_t after) noexcept override {
+    m_forwarder.m_context.answer_memory.Resize(before, after);
+  }
+
+  void KeepDetached(std::unique_ptr<RequestTask> task, std::size_t reserved) override {
+    if (IsMutantEnabled("forwarder_ignores_detached_bodies")) {
+      m_body_memory.Release(std::exchange(reserved, 0));
+    }
     RequestTask* key = task.get();
-    m_detached.emplace(key, std::move(task));
+    m_detached.emplace(key, Detached{.task = std::move(task), .reserved = reserved});
   }
 
   void OnSessionEnd(CallerSession& session) override { m_sessions.Remove(session); }
@@ -162,10 +179,19 @@
   SessionTable m_sessions;
 
  private:
+  /// A task that continues after its caller has disconnected.
+  struct Detached {
+    std::unique_ptr<RequestTask> task;
+    /// Bytes that are reserved for its request.
+    std::size_t reserved;
+  };
+
   void ReleaseDetached(RequestTask& task) {
     m_forwarder.m_context.loop.Post([this, alive = std::weak_ptr<bool>(m_alive), key = &task] {
-      if (!alive.expired()) {
-        m_detached.erase(key);
+      const auto found = alive.expired() ? m_detached.end() : m_detached.find(key);
+      if (!alive.expired() && found != m_detached.end()) {
+        m_body_memory.Release(found->second.reserved);
+        m_detached.erase(found);
       }
     });
   }
@@ -173,8 +199,9 @@
   Forwarder& m_forwarder;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
   MemoryBudget m_body_memory;
-  /// Tasks that continue after their callers have disconnected.
-  std::unordered_map<RequestTask*, std::unique_ptr<RequestTask>> m_detached;
+  /// Bytes of answers from which no request is accepted.
+  const std::size_t m_max_answer_memory;
+  std::unordered_map<RequestTask*, Detached> m_detached;
 };
 
 Forwarder::Forwarder(net::EventLoop& loop, const Clock& clock, RandomSource& random,
--- a/src/forward/response_sink.h
+++ b/src/forward/response_sink.h
@@ -32,11 +32,19 @@
   virtual void StreamPart(std::string_view part) = 0;
   virtual void EndStream() = 0;
 
-  /// \brief Resets the connection, so that the response does not look complete.
+  /// \brief Resets the connection once the caller has received what was written, so that the
+  /// response does not look complete.
   virtual void Abort() = 0;
 
   /// \brief Returns the number of bytes that have not been sent to the caller yet.
   [[nodiscard]] virtual std::size_t QueuedBytes() const = 0;
+
+  /// \brief Returns the bytes that are held until the caller reads them, including those that the
+  /// kernel holds.
+  [[nodiscard]] virtual std::size_t HeldBytes() const = 0;
+
+  /// \brief Reduces the bytes that the kernel holds until the caller reads them.
+  virtual void SaveMemory() = 0;
 };
 
 /// \brief Handles one request. Destroying the task cancels the request.
--- a/src/http1/client_connection.cc
+++ b/src/http1/client_connection.cc
@@ -59,11 +59,13 @@
   }
   m_observer->OnSending();
   m_stream.Write(request);
+  m_observer->OnWriteProgress();
 }
 
 void ClientConnection::OnConnected() {
   m_connected = true;
   m_connect_timer.reset();
+  m_stream.SetUnsentLimit(net::TcpStream::kRouterUnsentLimit);
   m_stream.StartReading();
   if (m_in_call) {
     if (!m_observer->UpdateRequest(m_pending_request)) {
@@ -73,6 +75,13 @@
     m_observer->OnSending();
     m_stream.Write(m_pending_request);
     std::string().swap(m_pending_request);
+    m_observer->OnWriteProgress();
+  }
+}
+
+void ClientConnection::OnDrained() {
+  if (m_in_call && m_observer != nullptr) {
+    m_observer->OnWriteProgress();
   }
 }
 
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -41,6 +41,9 @@
   /// \brief The request is about to be written to the connection.
   virtual void OnSending() {}
 
+  /// \brief The request was written to the connection, or the kernel has accepted the rest of it.
+  virtual void OnWriteProgress() {}
+
   /// \brief Called with the head of a final response. Returns false if the response belongs to
   /// another call and must be skipped.
   [[nodiscard]] virtual bool OnResponseHead(MessageHead head) = 0;
@@ -72,6 +75,9 @@
   /// \brief Makes the destructor discard what has not been transmitted yet.
   void ResetOnClose() noexcept { m_stream.ResetOnClose(); }
 
+  /// \brief Returns the bytes of requests that are held until the peer reads them.
+  [[nodiscard]] std::size_t HeldBytes() const noexcept { return m_stream.HeldBytes(); }
+
   void StopReading() noexcept { m_stream.StopReading(); }
   void StartReading() { m_stream.StartReading(); }
   void SetPeerTimeout(std::chrono::milliseconds timeout) noexcept {
@@ -83,6 +89,7 @@
   void OnEnd() override;
   void OnError(std::string_view error) override;
   void OnConnected() override;
+  void OnDrained() override;
 
   [[nodiscard]] bool OnHead(MessageHead head) override;
   void OnBody(std::string_view part) override;
--- a/src/net/tcp_stream.cc
+++ b/src/net/tcp_stream.cc
@@ -1,8 +1,10 @@
 #include "net/tcp_stream.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -11,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/mutant.h"
 #include "http/socket_address.h"
 
 namespace wagtailwind::net {
@@ -70,6 +73,7 @@
   StreamHandler* handler = nullptr;
   bool failed = false;
   bool reset_on_close = false;
+  std::size_t unsent_limit = 0;
 
   [[nodiscard]] uv_stream_t* Stream() noexcept { return reinterpret_cast<uv_stream_t*>(&tcp); }
 
@@ -220,6 +224,32 @@
   return uv_stream_get_write_queue_size(m_handle->Stream());
 }
 
+void TcpStream::SetUnsentLimit(std::size_t bytes) noexcept {
+  uv_os_fd_t descriptor = -1;
+  if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&m_handle->tcp), &descriptor) < 0 ||
+      IsMutantEnabled("kernel_holds_unsent_bytes")) {
+    return;
+  }
+  const auto limit = static_cast<unsigned int>(bytes);
+  setsockopt(descriptor, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &limit, sizeof(limit));
+  m_handle->unsent_limit = bytes;
+}
+
+std::size_t TcpStream::HeldBytes() const noexcept {
+  const std::size_t queued = QueuedBytes();
+  return queued == 0 ? 0 : queued + m_handle->unsent_limit;
+}
+
+std::size_t TcpStream::UnacknowledgedBytes() const noexcept {
+  uv_os_fd_t descriptor = -1;
+  int bytes = 0;
+  if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&m_handle->tcp), &descriptor) < 0 ||
+      ioctl(descriptor, SIOCOUTQ, &bytes) < 0) {
+    return 0;
+  }
+  return static_cast<std::size_t>(std::max(bytes, 0));
+}
+
 bool TcpStream::HasEnded() const noexcept {
   const int peeked = Peek(m_handle->tcp);
   return peeked <= 0 && peeked != UV_EAGAIN;
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -61,6 +61,21 @@
   /// \brief Number of bytes passed to Write() that the kernel has not accepted yet.
   [[nodiscard]] std::size_t QueuedBytes() const noexcept;
 
+  /// \brief Limits the bytes that the kernel takes from Write() before it has sent them. Without a
+  /// limit, it buffers megabytes for a peer that reads slowly.
+  void SetUnsentLimit(std::size_t bytes) noexcept;
+
+  /// Unsent bytes that the kernel may take for one connection of a router. A process that is
+  /// limited to 0.063 cores pauses for up to 94 ms, in which a link of 10 Mbit/s sends this much.
+  static constexpr std::size_t kRouterUnsentLimit = 128U << 10U;
+
+  /// \brief Returns the bytes that are held for a peer that reads slowly, by this process and by
+  /// the kernel; 0 while the kernel accepts all bytes.
+  [[nodiscard]] std::size_t HeldBytes() const noexcept;
+
+  /// \brief Returns the number of written bytes that the peer has not acknowledged yet.
+  [[nodiscard]] std::size_t UnacknowledgedBytes() const noexcept;
+
   /// \brief Whether the kernel holds received bytes that have not been reported yet.
   [[nodiscard]] bool HasUnreadBytes() const noexcept;
 
--- a/tests/support/raw_connection.cc
+++ b/tests/support/raw_connection.cc
@@ -3,7 +3,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <cerrno>
 
 #include "http/socket_address.h"
 
@@ -43,6 +45,20 @@
   return true;
 }
 
+void RawConnection::ReadAvailable(std::size_t limit) {
+  std::array<char, 4096> buffer{};
+  while (limit > 0 && !m_ended) {
+    const ssize_t count =
+        recv(m_socket, buffer.data(), std::min(limit, buffer.size()), MSG_DONTWAIT);
+    if (count <= 0) {
+      m_ended = count == 0 || errno != EAGAIN;
+      return;
+    }
+    m_received.append(buffer.data(), static_cast<std::size_t>(count));
+    limit -= static_cast<std::size_t>(count);
+  }
+}
+
 const std::string& RawConnection::ReadUntil(std::string_view text) {
   while (m_received.find(text) == std::string::npos && ReadSome()) {
   }
--- a/tests/support/raw_connection.h
+++ b/tests/support/raw_connection.h
@@ -1,6 +1,7 @@
 #ifndef WAGTAILWIND_TESTS_SUPPORT_RAW_CONNECTION_H_
 #define WAGTAILWIND_TESTS_SUPPORT_RAW_CONNECTION_H_
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -25,11 +26,21 @@
   /// \brief Reads until the connection ends. Returns everything that was received.
   const std::string& ReadToEnd();
 
+  /// \brief Reads at most `limit` bytes of those that have already arrived.
+  void ReadAvailable(std::size_t limit);
+
+  /// \brief Returns everything that was received so far.
+  [[nodiscard]] const std::string& received() const noexcept { return m_received; }
+
+  /// \brief Returns whether ReadAvailable() has reached the end of the connection.
+  [[nodiscard]] bool ended() const noexcept { return m_ended; }
+
  private:
   bool ReadSome();
 
   int m_socket = -1;
   std::string m_received;
+  bool m_ended = false;
 };
 
 }  // namespace wagtailwind::testing
--- a/tests/support/scripted_server.cc
+++ b/tests/support/scripted_server.cc
@@ -20,7 +20,13 @@
       m_stream(new net::TcpStream(server.m_loop, *this)),
       m_parser(http1::MessageParser::Kind::kRequest, *this, kMaxHeadBytes) {
   m_stream->Accept(listener);
-  m_stream->StartReading();
+  SetReading(server.m_is_reading);
+}
+
+void ScriptedServer::Connection::SetReading(bool is_reading) {
+  if (m_stream != nullptr) {
+    is_reading ? m_stream->StartReading() : m_stream->StopReading();
+  }
 }
 
 void ScriptedServer::Connection::Close() { m_stream.reset(); }
@@ -64,6 +70,13 @@
         m_connections.push_back(std::make_unique<Connection>(*this, listener));
       }) {}
 
+void ScriptedServer::SetReading(bool is_reading) {
+  m_is_reading = is_reading;
+  for (const auto& connection : m_connections) {
+    connection->SetReading(is_reading);
+  }
+}
+
 EndlessWriter::EndlessWriter(net::EventLoop& loop, int parts_per_tick)
     : m_timer(loop, [this, parts_per_tick] {
         for (Entry& entry : m_entries) {
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -32,6 +32,9 @@
 
     [[nodiscard]] bool closed() const noexcept { return m_stream == nullptr; }
 
+    /// \brief Starts or stops reading what the client sends.
+    void SetReading(bool is_reading);
+
     /// \brief Number of written bytes that the kernel has not accepted yet.
     [[nodiscard]] std::size_t QueuedBytes() const noexcept { return m_stream->QueuedBytes(); }
 
@@ -63,6 +66,9 @@
 
   void SetHandler(Handler handler) { m_handler = std::move(handler); }
 
+  /// \brief Starts or stops reading on all connections, including those accepted later.
+  void SetReading(bool is_reading);
+
   /// Number of complete requests.
   int requests = 0;
   /// Number of connections that the client closed or that failed.
@@ -73,6 +79,7 @@
  private:
   net::EventLoop& m_loop;
   Handler m_handler;
+  bool m_is_reading = true;
   std::list<std::unique_ptr<Connection>> m_connections;
   net::TcpListener m_listener;
 };
