Share how a request's ranking properties are derived

Cause: a placement query has to rank endpoints as a request does, without a copy of the derivation.

Change: MakeRankingRequest() fills the properties that do not depend on the request's cost; ForwardContext says whether keys are confirmed. Behaviour is unchanged.

Measured: the placement and forward unit tests pass.

--- a/src/forward/forward_context.cc
+++ b/src/forward/forward_context.cc
@@ -21,6 +21,10 @@
 // watch of the configuration and a slow response.
 constexpr double kRecentConfirmationShare = 0.6;
 
+// A key is refused this long before it could count as revoked, to allow for the time to reach the
+// endpoint.
+constexpr std::chrono::milliseconds kRevocationMargin{200};
+
 // Time in which an endpoint that refused a connection may start again: as long as no requests go to
 // an unreachable endpoint.
 constexpr std::chrono::milliseconds kRestartTime{1'000};
@@ -39,6 +43,10 @@
          std::max<std::chrono::nanoseconds>(recent, bounds.configuration);
 }
 
+bool ForwardContext::AreKeysConfirmed() const noexcept {
+  return confirmation.Age(clock.BootNow()) <= bounds.key_revocation - kRevocationMargin;
+}
+
 void ForwardContext::SetRequestLimit(balancing::Endpoint& endpoint, std::optional<double> limit) {
   const std::optional<double> before = endpoint.quota.limit();
   if (limit == before) {
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -84,6 +84,9 @@
   /// unknown routes and keys can be refused permanently, and the router is ready for callers.
   [[nodiscard]] bool IsConfirmed() const noexcept;
 
+  /// \brief Returns whether the configuration was confirmed recently enough to accept keys.
+  [[nodiscard]] bool AreKeysConfirmed() const noexcept;
+
   /// \brief Sets the request limit that an endpoint has named; empty if it has none.
   void SetRequestLimit(balancing::Endpoint& endpoint, std::optional<double> limit);
 
--- a/src/forward/forward_task.cc
+++ b/src/forward/forward_task.cc
@@ -7,6 +7,7 @@
 #include "core/hash.h"
 #include "core/mutant.h"
 #include "forward/header_rules.h"
+#include "forward/ranking_request.h"
 #include "forward/task_common.h"
 
 namespace wagtailwind::forward {
@@ -21,18 +22,11 @@
 // unreachable or have become full.
 constexpr std::size_t kMaxCandidates = 4;
 
-// One router uses at most the connections that an endpoint accepts, divided by this.
-constexpr std::uint32_t kConnectionDivisor = 2;
-
 // Time that a request waits for the first configuration, and the poll interval. Refusing the
 // request immediately would use up one of the caller's few retries.
 constexpr std::chrono::milliseconds kConfigurationWait = 300ms;
 constexpr std::chrono::milliseconds kConfigurationPollInterval = 10ms;
 
-// A key is refused this long before it could count as revoked, to allow for the time to reach the
-// endpoint.
-constexpr std::chrono::milliseconds kRevocationMargin = 200ms;
-
 // Retry-After for refused callers: while the configuration is unknown, and until another router or
 // a renewed confirmation can serve them.
 constexpr std::chrono::milliseconds kRetryWhenNotReady = 500ms;
@@ -133,9 +127,7 @@
 }
 
 bool ForwardTask::AreKeysConfirmed() const {
-  return m_context.confirmation.Age(m_context.clock.BootNow()) <=
-             m_context.bounds.key_revocation - kRevocationMargin ||
-         IsMutantEnabled("forwarder_accepts_unconfirmed_keys");
+  return m_context.AreKeysConfirmed() || IsMutantEnabled("forwarder_accepts_unconfirmed_keys");
 }
 
 bool ForwardTask::IsKeyAccepted() const {
@@ -232,19 +224,14 @@
   }
   m_service = *service;
   const auto& headers = m_request.head.headers;
-  balancing::RankingRequest ranking;
-  ranking.zone = m_context.zone;
-  ranking.allowed_zones = m_context.HomeZones(
-      m_route->home_regions,
-      m_key_owner != nullptr ? m_key_owner->home_regions : std::span<const RegionName>());
-  ranking.wall_now = m_context.clock.WallNow();
-  ranking.other_routers = m_context.OtherRouters();
-  ranking.model = ModelName(std::string(http::FindHeader(headers, m_context.names.model)));
   const auto spec = m_configuration->services.find(m_service.value());
-  if (spec != m_configuration->services.end()) {
-    ranking.max_connections = spec->second.max_connections / kConnectionDivisor;
-  }
-  ranking.prompt = m_prompt;
+  balancing::RankingRequest ranking =
+      MakeRankingRequest(m_context, {.configuration = *m_configuration,
+                                     .route = *m_route,
+                                     .key_owner = m_key_owner,
+                                     .service = m_service,
+                                     .model = http::FindHeader(headers, m_context.names.model),
+                                     .prompt = m_prompt});
   const double cost =
       balancing::ParseRequestCost(http::FindHeader(headers, m_context.names.token_counts))
           .value_or(0);
