Answer on the admin listener where a request would go

Cause: operators could not see why a forwarder prefers or rules out an endpoint for a request, short of sending one.

`wagtailwind placement` asks it; invalid queries are usage errors (exit code 2), refusals exit with 1.

--- a/src/cli/cli_main.cc
+++ b/src/cli/cli_main.cc
@@ -1,6 +1,7 @@
 #include <iostream>
 #include <memory>
 #include <thread>
+#include <utility>
 
 #include "cli/errors.h"
 #include "cli/tool.h"
@@ -14,15 +15,12 @@
 
 constexpr std::chrono::seconds kStateTimeout{2};
 
-std::string FetchState(const std::string& address) {
+wagtailwind::cli::AdminResponse SendToAdmin(const std::string& address, const std::string& method,
+                                            const std::string& target, const std::string& body) {
   try {
     const wagtailwind::http::Response response =
-        wagtailwind::http::Client(address).Send("GET", "/state", "", kStateTimeout);
-    if (response.status == 200) {
-      return response.body;
-    }
-    throw wagtailwind::cli::ProcessUnreachable(address + ": status " +
-                                               std::to_string(response.status));
+        wagtailwind::http::Client(address).Send(method, target, body, kStateTimeout);
+    return {.status = response.status, .body = response.body};
   } catch (const wagtailwind::http::NotConnected& error) {
     throw wagtailwind::cli::ProcessUnreachable(error.what());
   } catch (const wagtailwind::http::ResponseLost& error) {
@@ -30,6 +28,20 @@
   }
 }
 
+std::string FetchState(const std::string& address) {
+  wagtailwind::cli::AdminResponse response = SendToAdmin(address, "GET", "/state", "");
+  if (response.status != 200) {
+    throw wagtailwind::cli::ProcessUnreachable(address + ": status " +
+                                               std::to_string(response.status));
+  }
+  return std::move(response.body);
+}
+
+wagtailwind::cli::AdminResponse QueryPlacement(const std::string& address,
+                                               const std::string& query) {
+  return SendToAdmin(address, "POST", "/placement", query);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -53,7 +65,8 @@
       [](std::chrono::milliseconds duration) { std::this_thread::sleep_for(duration); },
       std::cin,
       std::cout,
-      std::cerr};
+      std::cerr,
+      &QueryPlacement};
   const std::vector<std::string> arguments(argv + 1, argv + argc);
   return static_cast<int>(wagtailwind::cli::RunTool(arguments, environment));
 }
--- a/src/cli/command_line.cc
+++ b/src/cli/command_line.cc
@@ -32,8 +32,15 @@
       "zone", "availability zone to drain", cxxopts::value<std::string>())(
       "start", "time such as 2026-11-30T08:00:00Z", cxxopts::value<std::string>())(
       "process", "admin address of a process, ip:port", cxxopts::value<StringList>())(
-      "timeout", "seconds", cxxopts::value<unsigned int>())("arguments", "",
-                                                            cxxopts::value<StringList>());
+      "timeout", "seconds", cxxopts::value<unsigned int>())(
+      "admin", "admin address of a forwarder, ip:port", cxxopts::value<std::string>())(
+      "host", "Host of a request", cxxopts::value<std::string>())(
+      "path", "path of a request", cxxopts::value<std::string>())("api-key", "API key of a request",
+                                                                  cxxopts::value<std::string>())(
+      "model", "model that a request names", cxxopts::value<std::string>())(
+      "tokens", "prompt tokens, largest number of answer tokens", cxxopts::value<std::string>())(
+      "prompt", "parts of a prompt, id:tokens,...", cxxopts::value<std::string>())(
+      "arguments", "", cxxopts::value<StringList>());
   options.parse_positional({"arguments"});
   return options;
 }
@@ -79,6 +86,16 @@
   line.start = OptionOrDefault(parsed, "start", std::string());
   line.processes = OptionOrDefault(parsed, "process", StringList());
   line.timeout = std::chrono::seconds(OptionOrDefault(parsed, "timeout", 30U));
+  const auto text = [&parsed](const char* name) {
+    return OptionOrDefault(parsed, name, std::string());
+  };
+  line.admin = text("admin");
+  line.host = text("host");
+  line.path = text("path");
+  line.api_key = text("api-key");
+  line.model = text("model");
+  line.tokens = text("tokens");
+  line.prompt = text("prompt");
   return line;
 }
 
@@ -126,6 +143,12 @@
        "  Shows the log lines of a request and the state of each process before it (- is standard\n"
        "  input).\n"
        "  Example: wagtailwind explain 9c41d07be2a35f68 router-1.log router-2.log\n"},
+      {"placement",
+       "wagtailwind placement --admin IP:PORT --host HOST --path PATH [--api-key KEY]\n"
+       "                      [--model MODEL] [--tokens IN,OUT] [--prompt ID:TOKENS,...]\n"
+       "  Asks a forwarder where such a request would go now, and why, without sending it. Exit\n"
+       "  code 1 if it would be refused.\n"
+       "  Example: wagtailwind placement --admin 127.0.0.1:9100 --host api.example --path /v1/x\n"},
       {"dump",
        "wagtailwind dump IP:PORT\n  Shows the state of the process at this admin address.\n"
        "  Example: wagtailwind dump 127.0.0.1:9100 --output json\n"}};
--- a/src/cli/command_line.h
+++ b/src/cli/command_line.h
@@ -29,6 +29,16 @@
   std::string start;
   std::vector<std::string> processes;
   std::chrono::seconds timeout{30};
+  /// \name Placement query
+  /// @{
+  std::string admin;
+  std::string host;
+  std::string path;
+  std::string api_key;
+  std::string model;
+  std::string tokens;
+  std::string prompt;
+  /// @}
 };
 
 /// \brief Parses the arguments that follow the program name. Throws UsageError.
--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -11,18 +11,20 @@
 
 namespace {
 
-constexpr std::array<std::pair<std::string_view, Command>, 12> kCommands{{{"status", &RunStatus},
-                                                                          {"get", &RunGet},
-                                                                          {"list", &RunList},
-                                                                          {"put", &RunPut},
-                                                                          {"edit", &RunEdit},
-                                                                          {"delete", &RunDelete},
-                                                                          {"diff", &RunDiff},
-                                                                          {"drain", &RunDrain},
-                                                                          {"undrain", &RunUndrain},
-                                                                          {"wait", &RunWait},
-                                                                          {"explain", &RunExplain},
-                                                                          {"dump", &RunDump}}};
+constexpr std::array<std::pair<std::string_view, Command>, 13> kCommands{
+    {{"status", &RunStatus},
+     {"get", &RunGet},
+     {"list", &RunList},
+     {"put", &RunPut},
+     {"edit", &RunEdit},
+     {"delete", &RunDelete},
+     {"diff", &RunDiff},
+     {"drain", &RunDrain},
+     {"undrain", &RunUndrain},
+     {"wait", &RunWait},
+     {"explain", &RunExplain},
+     {"placement", &RunPlacement},
+     {"dump", &RunDump}}};
 
 }  // namespace
 
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -39,6 +39,7 @@
 ExitCode RunUndrain(const CommandLine& line, const ToolEnvironment& environment);
 ExitCode RunWait(const CommandLine& line, const ToolEnvironment& environment);
 ExitCode RunExplain(const CommandLine& line, const ToolEnvironment& environment);
+ExitCode RunPlacement(const CommandLine& line, const ToolEnvironment& environment);
 ExitCode RunDump(const CommandLine& line, const ToolEnvironment& environment);
 
 }  // namespace wagtailwind::cli
--- a/src/cli/exit_code.h
+++ b/src/cli/exit_code.h
@@ -7,7 +7,8 @@
 enum class ExitCode : int {
   /// Success; a change was accepted.
   kOk = 0,
-  /// The change was not made and will not be made; for `diff`: there are differences.
+  /// The change was not made and will not be made; for `diff`: there are differences; for
+  /// `placement`: the request would be refused.
   kNotAccepted = 1,
   /// The command line or a record file is malformed.
   kUsage = 2,
@@ -19,7 +20,7 @@
   kNotFound = 5,
   /// `wait`: a process did not reach the version before the timeout.
   kTimeout = 6,
-  /// `dump`: the process can't be reached.
+  /// `dump`, `placement`: the process can't be reached.
   kProcessUnreachable = 7,
 };
 
--- a/src/cli/tool.h
+++ b/src/cli/tool.h
@@ -16,6 +16,12 @@
 
 namespace wagtailwind::cli {
 
+/// \brief Response of a process at its admin address.
+struct AdminResponse {
+  int status = 0;
+  std::string body;
+};
+
 /// \brief Dependencies of the tool, which tests replace.
 struct ToolEnvironment {
   std::function<std::shared_ptr<platform::KeyValueService>(const std::string& address)> key_values;
@@ -28,6 +34,9 @@
   std::istream& in;
   std::ostream& out;
   std::ostream& err;
+  /// Sends a placement query to an admin address; throws ProcessUnreachable.
+  std::function<AdminResponse(const std::string& address, const std::string& query)>
+      query_placement{};
 };
 
 /// \brief Runs the tool with the arguments that follow the program name.
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -8,6 +8,7 @@
 #include "core/mutant.h"
 #include "forward/forward_task.h"
 #include "forward/log_events.h"
+#include "forward/placement_query.h"
 #include "forward/session_table.h"
 
 namespace wagtailwind::forward {
@@ -103,6 +104,8 @@
         m_sink.Respond(kOk, text, m_forwarder.m_context.metrics.RenderText());
       } else if (target == "/state") {
         m_sink.Respond(kOk, text, m_forwarder.StateText());
+      } else if (target == kPlacementPath) {
+        RespondToPlacementQuery(m_forwarder.m_context, m_request.body, m_sink);
       } else if (target == "/livez") {
         m_sink.Respond(kOk, {}, {});
       } else {
