--- a/src/forward/forward_context.cc
+++ b/src/forward/forward_context.cc
@@ -21,13 +21,18 @@
 // watch of the configuration and a slow response.
 constexpr double kRecentConfirmationShare = 0.6;
 
+// A key is refused this long before it could count as revoked, to allow for the time to reach the
+// endpoint.
+constexpr std::chrono::milliseconds kRevocationMargin{200};
+
 // Time in which an endpoint that refused a connection may start again: as long as no requests go to
 // an unreachable endpoint.
 constexpr std::chrono::milliseconds kRestartTime{1'000};
 
-// Time after the start of the process from which all routers that are there are listed: each writes
-// its record within four seconds, and a watch delivers it soon after. With a shorter list, the
-// router would take too large a share of a cold endpoint.
+// Time after the first read of the routers' records from which all routers are listed: after a
+// start of all, or a loss of the records, each writes its own within four seconds, and a watch
+// delivers it soon after. With a shorter list, the router would take too large a share of a cold
+// endpoint.
 constexpr std::chrono::seconds kDirectoryTime{6};
 
 }  // namespace
@@ -39,6 +44,10 @@
          std::max<std::chrono::nanoseconds>(recent, bounds.configuration);
 }
 
+bool ForwardContext::AreKeysConfirmed() const noexcept {
+  return confirmation.Age(clock.BootNow()) <= bounds.key_revocation - kRevocationMargin;
+}
+
 void ForwardContext::SetRequestLimit(balancing::Endpoint& endpoint, std::optional<double> limit) {
   const std::optional<double> before = endpoint.quota.limit();
   if (limit == before) {
@@ -138,7 +147,7 @@
   if (service == nullptr || service->cold_rate <= 0 || bounds.cold_factor <= 0) {
     return std::nullopt;
   }
-  if (clock.Now() - started_at < kDirectoryTime) {
+  if (!routers_read_at || clock.Now() - *routers_read_at < kDirectoryTime) {
     return balancing::LimitShare{};
   }
   return balancing::DivideColdLimit(
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -57,8 +57,8 @@
   InstanceName self;
   /// All routers, including this one.
   std::vector<balancing::RouterInfo> routers;
-  /// Start of the process.
-  SteadyTime started_at{};
+  /// Time at which the records of routers were first read; empty before.
+  std::optional<SteadyTime> routers_read_at{};
 
   balancing::EndpointRegistry endpoints;
   ConnectionPool pool;
@@ -92,6 +92,9 @@
   /// unknown routes and keys can be refused permanently, and the router is ready for callers.
   [[nodiscard]] bool IsConfirmed() const noexcept;
 
+  /// \brief Returns whether the configuration was confirmed recently enough to accept keys.
+  [[nodiscard]] bool AreKeysConfirmed() const noexcept;
+
   /// \brief Sets the request limit that an endpoint has named; empty if it has none.
   void SetRequestLimit(balancing::Endpoint& endpoint, std::optional<double> limit);
 
--- a/src/forward/router_directory.cc
+++ b/src/forward/router_directory.cc
@@ -50,6 +50,9 @@
 
 void RouterDirectory::OnSnapshot(const std::vector<platform::KeyValueItem>& items,
                                  BootTime /*valid_as_of*/) {
+  if (!m_context.routers_read_at) {
+    m_context.routers_read_at = m_context.clock.Now();
+  }
   std::set<std::string> present;
   for (const platform::KeyValueItem& item : items) {
     if (item.key.starts_with(m_prefix)) {
