--- a/src/balancing/endpoint_ranking.cc
+++ b/src/balancing/endpoint_ranking.cc
@@ -362,6 +362,26 @@
   return left.tier != right.tier ? left.tier < right.tier : left.cost < right.cost;
 }
 
+bool IsFailing(const Endpoint& endpoint, double mean_failure_rate, SteadyTime now) {
+  return endpoint.health.state() == requests::BreakerState::kOpen || endpoint.full_until > now ||
+         endpoint.health.IsUnresponsive(now) ||
+         endpoint.health.FailureRate(now) > kFailureFactor * mean_failure_rate + kFailureRateSlack;
+}
+
+/// Returns the endpoint, other than the first one, that is expected to have a prompt's shared parts
+/// cached; null if there is none.
+EndpointPtr FindCacheSource(const EndpointPtr& first, const BestEndpoint& preferred,
+                            const BestEndpoint& preferred_old, SteadyTime now) {
+  // If the first endpoint is the highest-scoring old one, only a new endpoint can have taken over
+  // the prompt.
+  const BestEndpoint& source = preferred_old.Is(first) ? preferred : preferred_old;
+  if (source.endpoint == nullptr || source.Is(first) ||
+      (*source.endpoint)->health.IsUnresponsive(now)) {
+    return nullptr;
+  }
+  return *source.endpoint;
+}
+
 }  // namespace
 
 bool IsLongPrompt(const SharedPrompt& prompt) noexcept {
@@ -435,10 +455,7 @@
         preferred_old.Update(endpoint, score);
       }
     }
-    const bool failing =
-        endpoint->health.state() == requests::BreakerState::kOpen || endpoint->full_until > now ||
-        endpoint->health.IsUnresponsive(now) ||
-        endpoint->health.FailureRate(now) > kFailureFactor * mean_failure_rate + kFailureRateSlack;
+    const bool failing = IsFailing(*endpoint, mean_failure_rate, now);
     const bool overloaded =
         request.prompt &&
         (load > bound || (has_margin && load + deviations * deviation > tolerated) ||
@@ -493,13 +510,7 @@
     for (const Candidate& limited : found.at_limit) {
       consider_cache(*limited.endpoint);
     }
-    // If the first endpoint is the highest-scoring old one, only a new endpoint can have taken over
-    // the prompt.
-    const BestEndpoint& cache_source = preferred_old.Is(first) ? preferred : preferred_old;
-    if (!cache_source.Is(first) && cache_source.endpoint != nullptr &&
-        !(*cache_source.endpoint)->health.IsUnresponsive(now)) {
-      ranking.cached_at = *cache_source.endpoint;
-    }
+    ranking.cached_at = FindCacheSource(first, preferred, preferred_old, now);
   }
   ranking.endpoints.reserve(kept);
   for (std::size_t i = 0; i < kept; ++i) {
--- a/src/cli/request_story.h
+++ b/src/cli/request_story.h
@@ -23,17 +23,17 @@
 /// \brief Why a process sent an endpoint, or the endpoints of a zone, no requests or only a share
 /// of them.
 struct RestrictedPlacement {
-  std::string process;
+  std::string process{};
   /// Name of the endpoint; empty if `zone` is set.
-  std::string endpoint;
-  std::string zone;
+  std::string endpoint{};
+  std::string zone{};
   /// As in logs: `leaving`, `evacuated`, `paused`, `at_limit` or `cold`.
-  std::string reason;
-  std::string since;
+  std::string reason{};
+  std::string since{};
   /// When it ended, or ends by what the process knew; empty if the log doesn't tell.
-  std::string until;
+  std::string until{};
   /// Requests a second that the process may send meanwhile; absent if it may send none.
-  std::optional<double> rate;
+  std::optional<double> rate{};
 };
 
 /// \brief The log lines of one request and the earlier state of the processes that handled it.
--- a/src/forward/evacuation_follower.cc
+++ b/src/forward/evacuation_follower.cc
@@ -17,6 +17,7 @@
 void EvacuationFollower::OnSnapshot(const std::vector<platform::KeyValueItem>& items,
                                     BootTime /*valid_as_of*/) {
   std::vector<AvailabilityZoneName> zones;
+  zones.reserve(items.size());
   for (const platform::KeyValueItem& item : items) {
     zones.push_back(ZoneOf(item));
   }
