--- a/src/balancing/cold_start.cc
+++ b/src/balancing/cold_start.cc
@@ -2,9 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <utility>
 
-#include "core/hash.h"
 #include "core/mutant.h"
 
 namespace wagtailwind::balancing {
@@ -37,15 +35,7 @@
   const auto count = static_cast<double>(std::max<std::size_t>(routers.size(), 1));
   const double users =
       std::min(count, std::max(1.0, std::floor(kUsersPart * limit.most_in_a_second)));
-  const std::uint64_t key = StableHash(endpoint.name);
-  const auto rank = [&endpoint, key](const RouterInfo& router) {
-    return std::pair(router.zone == endpoint.zone, RendezvousScore(key, router.name.value()));
-  };
-  const auto own_rank = rank(self);
-  const auto ahead = std::count_if(routers.begin(), routers.end(),
-                                   [&rank, &own_rank, &self](const RouterInfo& router) {
-                                     return router.name != self.name && rank(router) > own_rank;
-                                   });
+  const std::size_t ahead = RoutersAhead(endpoint.name, endpoint.zone, self, routers);
   if (IsMutantEnabled("forwarder_cold_rate_per_router")) {
     return {.rate = limit.rate, .burst = kBurst};
   }
--- a/src/balancing/request_limit.cc
+++ b/src/balancing/request_limit.cc
@@ -52,20 +52,25 @@
   return limit;
 }
 
+std::size_t RoutersAhead(std::string_view endpoint, const AvailabilityZoneName& zone,
+                         const RouterInfo& self, std::span<const RouterInfo> routers) {
+  const std::uint64_t key = StableHash(endpoint);
+  const auto rank = [&zone, key](const RouterInfo& router) {
+    return std::pair(router.zone == zone, RendezvousScore(key, router.name.value()));
+  };
+  const auto own_rank = rank(self);
+  return static_cast<std::size_t>(std::count_if(
+      routers.begin(), routers.end(), [&rank, &own_rank, &self](const RouterInfo& router) {
+        return router.name != self.name && rank(router) > own_rank;
+      }));
+}
+
 LimitShare DivideLimit(const LimitedEndpoint& endpoint, const RouterInfo& self,
                        std::span<const RouterInfo> routers) {
   const auto count = static_cast<double>(std::max<std::size_t>(routers.size(), 1));
   const double saved = SavedRequests(endpoint.limit);
   const double users = std::min(saved, count);
-  const std::uint64_t key = StableHash(endpoint.name);
-  const auto rank = [&endpoint, key](const RouterInfo& router) {
-    return std::pair(router.zone == endpoint.zone, RendezvousScore(key, router.name.value()));
-  };
-  const auto own_rank = rank(self);
-  const auto ahead = std::count_if(routers.begin(), routers.end(),
-                                   [&rank, &own_rank, &self](const RouterInfo& router) {
-                                     return router.name != self.name && rank(router) > own_rank;
-                                   });
+  const std::size_t ahead = RoutersAhead(endpoint.name, endpoint.zone, self, routers);
   if (static_cast<double>(ahead) >= users) {
     return {};
   }
--- a/src/balancing/request_limit.h
+++ b/src/balancing/request_limit.h
@@ -41,6 +41,11 @@
   double limit = 0;
 };
 
+/// \brief Returns how many other routers come before this one where only some use an endpoint:
+/// those of its availability zone first, then by a hash that all routers compute alike.
+[[nodiscard]] std::size_t RoutersAhead(std::string_view endpoint, const AvailabilityZoneName& zone,
+                                       const RouterInfo& self, std::span<const RouterInfo> routers);
+
 /// \brief Divides the limit of an endpoint among the routers, without communication: all routers
 /// that know the same routers come to the same result.
 ///
