--- a/tests/unit/forward_reserved_fields_test.cc
+++ b/tests/unit/forward_reserved_fields_test.cc
@@ -160,7 +160,7 @@
 // value must be refused, in a field that the router knows and in another one.
 Test(forward_reserved_fields, with_control_bytes_in_values_are_refused, .timeout = 30) {
   for (const std::string& byte : {std::string("\r"), std::string(1, '\0'), std::string("\x01"),
-                                 std::string("\x0b"), std::string("\x7f")}) {
+                                  std::string("\x0b"), std::string("\x7f")}) {
     for (const std::string name : {"Other", "Parts"}) {
       const std::string bytes =
           BytesAtEndpoint("Content-Length: 0\r\n" + name + ": a" + byte + "b\r\n", "");
