--- a/tests/soak/ledger.cc
+++ b/tests/soak/ledger.cc
@@ -139,8 +139,10 @@
     if (at > evacuation.begin + kEvacuationTime && at < evacuation.end &&
         RouterHadNoFault(request.router, evacuation.begin, at) &&
         HadNoFault(endpoint, evacuation.begin, at)) {
-      m_reported.push_back("evacuated: " + endpoint +
-                           " received a new request while its zone was evacuated, " + name);
+      std::string report = "evacuated: ";
+      m_reported.push_back(report.append(endpoint)
+                               .append(" received a new request while its zone was evacuated, ")
+                               .append(name));
     }
   }
   CheckCold(request, endpoint, at);
