--- a/tests/unit/balancing_cold_start_test.cc
+++ b/tests/unit/balancing_cold_start_test.cc
@@ -76,8 +76,9 @@
 Test(cold_start, keeps_the_limit_at_all_sizes_of_a_fleet) {
   for (const std::size_t count : {1, 2, 3, 4, 7, 8, 10, 12, 13, 46, 68, 300}) {
     const std::vector<RouterInfo> routers = Routers(count);
-    const std::size_t most =
-        MostInASecond(routers, kLimit, [&routers](std::size_t) { return routers; });
+    const std::size_t most = MostInASecond(
+        routers, kLimit,
+        [&routers](std::size_t) -> const std::vector<RouterInfo>& { return routers; });
     cr_assert_leq(most, 20, "%zu routers send %zu in a second", count, most);
     cr_assert_geq(most, 8, "%zu routers send only %zu in a second", count, most);
   }
@@ -107,8 +108,9 @@
   for (const ColdLimit& limit : {ColdLimit{.rate = 1, .most_in_a_second = 6.5},
                                  ColdLimit{.rate = 0.2, .most_in_a_second = 5.3},
                                  ColdLimit{.rate = 23, .most_in_a_second = 39.5}}) {
-    const std::size_t most =
-        MostInASecond(routers, limit, [&routers](std::size_t) { return routers; });
+    const std::size_t most = MostInASecond(
+        routers, limit,
+        [&routers](std::size_t) -> const std::vector<RouterInfo>& { return routers; });
     cr_assert_leq(static_cast<double>(most), limit.most_in_a_second);
     if (limit.rate > 20) {
       cr_assert_geq(most, 20, "%zu in a second", most);
--- a/tests/unit/forward_reserved_fields_test.cc
+++ b/tests/unit/forward_reserved_fields_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "net/tcp_stream.h"
 #include "support/forwarder_fixture.h"
 #include "support/raw_connection.h"
@@ -110,26 +111,26 @@
       std::string body;
     };
     const std::vector<Case> cases = {
-        {empty + forged, ""},
-        {empty + LowerCase(forged), ""},
-        {empty + forged + forged + LowerCase(forged), ""},
-        {empty + "Connection: " + name + "\r\n" + forged, ""},
-        {empty + forged + "Connection: close, " + LowerCase(name) + "\r\n", ""},
-        {"Transfer-Encoding: chunked\r\nTrailer: " + name + "\r\n",
-         "1\r\nx\r\n0\r\n" + forged + "\r\n"},
-        {empty + "Other: a\r\n " + forged, ""},
-        {empty + "Other: a\r\n\t" + forged, ""},
-        {empty + name + ":\r\n forged\r\n", ""},
-        {empty + name + " : forged\r\n", ""},
-        {empty + name + "\t: forged\r\n", ""},
-        {empty + " " + forged, ""},
-        {empty + "\x01" + forged, ""},
-        {empty + nul + forged, ""},
-        {empty + name + nul + ": forged\r\n", ""},
-        {empty + "Other: a\r" + forged, ""},
-        {empty + "Other: a\n" + forged, ""},
-        {empty + "Other: a" + nul + "\n" + forged, ""},
-        {empty + "Other: a\x0b" + forged, ""},
+        {absl::StrCat(empty, forged), ""},
+        {absl::StrCat(empty, LowerCase(forged)), ""},
+        {absl::StrCat(empty, forged, forged, LowerCase(forged)), ""},
+        {absl::StrCat(empty, "Connection: ", name, "\r\n", forged), ""},
+        {absl::StrCat(empty, forged, "Connection: close, ", LowerCase(name), "\r\n"), ""},
+        {absl::StrCat("Transfer-Encoding: chunked\r\nTrailer: ", name, "\r\n"),
+         absl::StrCat("1\r\nx\r\n0\r\n", forged, "\r\n")},
+        {absl::StrCat(empty, "Other: a\r\n ", forged), ""},
+        {absl::StrCat(empty, "Other: a\r\n\t", forged), ""},
+        {absl::StrCat(empty, name, ":\r\n forged\r\n"), ""},
+        {absl::StrCat(empty, name, " : forged\r\n"), ""},
+        {absl::StrCat(empty, name, "\t: forged\r\n"), ""},
+        {absl::StrCat(empty, " ", forged), ""},
+        {absl::StrCat(empty, "\x01", forged), ""},
+        {absl::StrCat(empty, nul, forged), ""},
+        {absl::StrCat(empty, name, nul, ": forged\r\n"), ""},
+        {absl::StrCat(empty, "Other: a\r", forged), ""},
+        {absl::StrCat(empty, "Other: a\n", forged), ""},
+        {absl::StrCat(empty, "Other: a", nul, "\n", forged), ""},
+        {absl::StrCat(empty, "Other: a\x0b", forged), ""},
     };
     for (std::size_t i = 0; i < cases.size(); ++i) {
       const std::string bytes = BytesAtEndpoint(cases[i].lines, cases[i].body);
@@ -163,7 +164,7 @@
                                   std::string("\x0b"), std::string("\x7f")}) {
     for (const std::string name : {"Other", "Parts"}) {
       const std::string bytes =
-          BytesAtEndpoint("Content-Length: 0\r\n" + name + ": a" + byte + "b\r\n", "");
+          BytesAtEndpoint(absl::StrCat("Content-Length: 0\r\n", name, ": a", byte, "b\r\n"), "");
       cr_expect(bytes.empty(), "%s: byte %d", name.c_str(), byte[0]);
     }
   }
