--- /dev/null
+++ b/review/support-2/configuration.h
@@ -0,0 +1,17 @@
+#ifndef WAGTAILWIND_REVIEW_CONFIGURATION_H_
+#define WAGTAILWIND_REVIEW_CONFIGURATION_H_
+
+#include <cstdint>
+#include <string>
+
+namespace review {
+
+/// \brief Returns the configuration of a small deployment: the host `small.example` with resumable
+/// streams at `/summary/` and others at `/note/` (service `llm`), and calls that run once at
+/// `/confirm/` and idempotent ones at `/status/` (service `api`), all of the tenant `tenant` with
+/// the key `key1`.
+[[nodiscard]] std::string Configuration(std::uint64_t version);
+
+}  // namespace review
+
+#endif  // WAGTAILWIND_REVIEW_CONFIGURATION_H_
--- /dev/null
+++ b/review/support-2/record.h
@@ -0,0 +1,16 @@
+#ifndef WAGTAILWIND_REVIEW_RECORD_H_
+#define WAGTAILWIND_REVIEW_RECORD_H_
+
+#include <string>
+
+namespace review {
+
+/// \brief Opens the file to which Record() writes.
+void OpenRecord(const std::string& path);
+
+/// \brief Writes a line with the time in seconds since the start. Thread-safe.
+void Record(const std::string& line);
+
+}  // namespace review
+
+#endif  // WAGTAILWIND_REVIEW_RECORD_H_
