Add case 10 of the review: limits of kept connections

A session keeps the limits that were in force when it was accepted. After a configuration that raises them, proper requests on kept connections get 413.

--- a/review/support-2/cases.h
+++ b/review/support-2/cases.h
@@ -20,6 +20,9 @@
 /// overwritten and written again.
 [[nodiscard]] int RunUnheardAnnouncement(bool with_trouble);
 
+/// \brief A configuration raises the limit of bodies while callers keep their connections.
+[[nodiscard]] int RunRaisedLimit(bool with_trouble);
+
 }  // namespace review
 
 #endif  // WAGTAILWIND_REVIEW_CASES_H_
--- a/review/support-2/configuration.cc
+++ b/review/support-2/configuration.cc
@@ -24,7 +24,7 @@
 
 }  // namespace
 
-std::string Configuration(std::uint64_t version) {
+std::string Configuration(std::uint64_t version, std::uint64_t max_body_bytes) {
   json document = {{"Version", version},
                    {"Routes", json::array()},
                    {"Services", json::array()},
@@ -39,7 +39,7 @@
                                   {"Engine", {{"Slots", 32}, {"KvCapacity", 800525}}}});
   document["Services"].push_back({{"Name", "api"}, {"HealthPath", "/healthz"}, {"MaxConns", 200}});
   document["Limits"] = {{"MaxHeaderBytes", 16384},
-                        {"MaxBodyBytes", 4194304},
+                        {"MaxBodyBytes", max_body_bytes},
                         {"HeaderTimeoutMs", 3000},
                         {"IdleTimeoutMs", 15000}};
   document["Tenants"].push_back({{"Name", "tenant"}, {"ApiKeys", {"key1"}}});
--- a/review/support-2/configuration.h
+++ b/review/support-2/configuration.h
@@ -10,7 +10,8 @@
 /// streams at `/summary/` and others at `/note/` (service `llm`), and calls that run once at
 /// `/confirm/` and idempotent ones at `/status/` (service `api`), all of the tenant `tenant` with
 /// the key `key1`.
-[[nodiscard]] std::string Configuration(std::uint64_t version);
+[[nodiscard]] std::string Configuration(std::uint64_t version,
+                                        std::uint64_t max_body_bytes = 4'194'304);
 
 }  // namespace review
 
--- a/review/support-2/main.cc
+++ b/review/support-2/main.cc
@@ -34,6 +34,8 @@
       result = RunOverwrittenDrain(with_trouble);
     } else if (verb == "unheard-announcement") {
       result = RunUnheardAnnouncement(with_trouble);
+    } else if (verb == "raised-limit") {
+      result = RunRaisedLimit(with_trouble);
     }
   } catch (const std::exception& error) {
     Record(std::string("could not run: ") + error.what());
