--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-g++ -std=c++20 -O1 -Wall -Wextra -pthread review/support-2/*.cc -o target/review-2/case
+g++ -std=c++20 -O1 -Wall -Wextra -pthread review/support-2/*.cpp -o target/review-2/case
--- a/review/support-2/cases.h
+++ b/review/support-2/cases.hpp
@@ -1,5 +1,5 @@
-#ifndef WAGTAILWIND_REVIEW_CASES_H_
-#define WAGTAILWIND_REVIEW_CASES_H_
+#ifndef WAGTAILWIND_REVIEW_CASES_HPP_
+#define WAGTAILWIND_REVIEW_CASES_HPP_
 
 namespace review {
 
@@ -25,4 +25,4 @@
 
 }  // namespace review
 
-#endif  // WAGTAILWIND_REVIEW_CASES_H_
+#endif  // WAGTAILWIND_REVIEW_CASES_HPP_
--- a/review/support-2/configuration.cc
+++ b/review/support-2/configuration.cpp
@@ -1,4 +1,4 @@
-#include "configuration.h"
+#include "configuration.hpp"
 
 #include <nlohmann/json.hpp>
 
--- a/review/support-2/configuration.h
+++ b/review/support-2/configuration.hpp
@@ -1,5 +1,5 @@
-#ifndef WAGTAILWIND_REVIEW_CONFIGURATION_H_
-#define WAGTAILWIND_REVIEW_CONFIGURATION_H_
+#ifndef WAGTAILWIND_REVIEW_CONFIGURATION_HPP_
+#define WAGTAILWIND_REVIEW_CONFIGURATION_HPP_
 
 #include <cstdint>
 #include <string>
@@ -15,4 +15,4 @@
 
 }  // namespace review
 
-#endif  // WAGTAILWIND_REVIEW_CONFIGURATION_H_
+#endif  // WAGTAILWIND_REVIEW_CONFIGURATION_HPP_
--- a/review/support-2/fleet.cc
+++ b/review/support-2/fleet.cpp
@@ -1,4 +1,4 @@
-#include "fleet.h"
+#include "fleet.hpp"
 
 #include <fcntl.h>
 #include <signal.h>
@@ -17,7 +17,7 @@
 #include <stdexcept>
 #include <utility>
 
-#include "record.h"
+#include "record.hpp"
 
 namespace review {
 
--- a/review/support-2/fleet.h
+++ b/review/support-2/fleet.hpp
@@ -1,5 +1,5 @@
-#ifndef WAGTAILWIND_REVIEW_FLEET_H_
-#define WAGTAILWIND_REVIEW_FLEET_H_
+#ifndef WAGTAILWIND_REVIEW_FLEET_HPP_
+#define WAGTAILWIND_REVIEW_FLEET_HPP_
 
 #include <sys/types.h>
 
@@ -10,8 +10,8 @@
 #include <thread>
 #include <vector>
 
-#include "http.h"
-#include "store.h"
+#include "http.hpp"
+#include "store.hpp"
 
 namespace review {
 
@@ -111,4 +111,4 @@
 
 }  // namespace review
 
-#endif  // WAGTAILWIND_REVIEW_FLEET_H_
+#endif  // WAGTAILWIND_REVIEW_FLEET_HPP_
--- a/review/support-2/http.cc
+++ b/review/support-2/http.cpp
@@ -1,4 +1,4 @@
-#include "http.h"
+#include "http.hpp"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
--- a/review/support-2/http.h
+++ b/review/support-2/http.hpp
@@ -1,5 +1,5 @@
-#ifndef WAGTAILWIND_REVIEW_HTTP_H_
-#define WAGTAILWIND_REVIEW_HTTP_H_
+#ifndef WAGTAILWIND_REVIEW_HTTP_HPP_
+#define WAGTAILWIND_REVIEW_HTTP_HPP_
 
 #include <cstdint>
 #include <optional>
@@ -86,4 +86,4 @@
 
 }  // namespace review
 
-#endif  // WAGTAILWIND_REVIEW_HTTP_H_
+#endif  // WAGTAILWIND_REVIEW_HTTP_HPP_
--- a/review/support-2/main.cc
+++ b/review/support-2/main.cpp
@@ -5,10 +5,10 @@
 #include <string>
 #include <string_view>
 
-#include "cases.h"
-#include "http.h"
-#include "record.h"
-#include "replica.h"
+#include "cases.hpp"
+#include "http.hpp"
+#include "record.hpp"
+#include "replica.hpp"
 
 int main(int argc, char** argv) {
   using namespace review;
--- a/review/support-2/overwritten_drain.cc
+++ b/review/support-2/overwritten_drain.cpp
@@ -8,11 +8,11 @@
 #include <thread>
 #include <vector>
 
-#include "cases.h"
-#include "configuration.h"
-#include "fleet.h"
-#include "record.h"
-#include "store.h"
+#include "cases.hpp"
+#include "configuration.hpp"
+#include "fleet.hpp"
+#include "record.hpp"
+#include "store.hpp"
 
 namespace review {
 
--- a/review/support-2/record.cc
+++ b/review/support-2/record.cpp
@@ -1,9 +1,9 @@
-#include "record.h"
+#include "record.hpp"
 
 #include <cstdio>
 #include <mutex>
 
-#include "http.h"
+#include "http.hpp"
 
 namespace review {
 
--- a/review/support-2/record.h
+++ b/review/support-2/record.hpp
@@ -1,5 +1,5 @@
-#ifndef WAGTAILWIND_REVIEW_RECORD_H_
-#define WAGTAILWIND_REVIEW_RECORD_H_
+#ifndef WAGTAILWIND_REVIEW_RECORD_HPP_
+#define WAGTAILWIND_REVIEW_RECORD_HPP_
 
 #include <string>
 
@@ -13,4 +13,4 @@
 
 }  // namespace review
 
-#endif  // WAGTAILWIND_REVIEW_RECORD_H_
+#endif  // WAGTAILWIND_REVIEW_RECORD_HPP_
--- a/review/support-2/replica.cc
+++ b/review/support-2/replica.cpp
@@ -1,4 +1,4 @@
-#include "replica.h"
+#include "replica.hpp"
 
 #include <sys/prctl.h>
 #include <sys/socket.h>
@@ -17,7 +17,7 @@
 #include <string>
 #include <thread>
 
-#include "http.h"
+#include "http.hpp"
 
 namespace review {
 
--- a/review/support-2/replica.h
+++ b/review/support-2/replica.hpp
@@ -1,5 +1,5 @@
-#ifndef WAGTAILWIND_REVIEW_REPLICA_H_
-#define WAGTAILWIND_REVIEW_REPLICA_H_
+#ifndef WAGTAILWIND_REVIEW_REPLICA_HPP_
+#define WAGTAILWIND_REVIEW_REPLICA_HPP_
 
 namespace review {
 
@@ -10,4 +10,4 @@
 
 }  // namespace review
 
-#endif  // WAGTAILWIND_REVIEW_REPLICA_H_
+#endif  // WAGTAILWIND_REVIEW_REPLICA_HPP_
--- a/review/support-2/store.cc
+++ b/review/support-2/store.cpp
@@ -1,4 +1,4 @@
-#include "store.h"
+#include "store.hpp"
 
 #include <sys/socket.h>
 #include <unistd.h>
--- a/review/support-2/store.h
+++ b/review/support-2/store.hpp
@@ -1,5 +1,5 @@
-#ifndef WAGTAILWIND_REVIEW_STORE_H_
-#define WAGTAILWIND_REVIEW_STORE_H_
+#ifndef WAGTAILWIND_REVIEW_STORE_HPP_
+#define WAGTAILWIND_REVIEW_STORE_HPP_
 
 #include <atomic>
 #include <condition_variable>
@@ -10,7 +10,7 @@
 #include <thread>
 #include <vector>
 
-#include "http.h"
+#include "http.hpp"
 
 namespace review {
 
@@ -78,4 +78,4 @@
 
 }  // namespace review
 
-#endif  // WAGTAILWIND_REVIEW_STORE_H_
+#endif  // WAGTAILWIND_REVIEW_STORE_HPP_
