Log the era of the key-value service and skipped configurations

The logs of routers could not tell whether a configuration was skipped or not received after the service had come back from an older copy. The feed now logs each change of the era and each full read, and the follower of the configuration each item that it skips. No change of logic.

--- a/src/cli/request_story.cc
+++ b/src/cli/request_story.cc
@@ -24,7 +24,7 @@
 constexpr std::string_view kStateEvents[] = {
     "forwarder_started", "settings_reloaded",  "configuration_in_force", "configuration_ignored",
     "key_value_lost",    "key_value_regained", "readiness_changed",      "endpoint_listed",
-    "endpoint_removed",  "forwarder_stopping"};
+    "endpoint_removed",  "key_value_restored", "forwarder_stopping"};
 
 /// Returns a field of a line, or the default if it is missing or of another type.
 std::string TextField(const LogLine& line, const char* name) {
--- a/src/forward/configuration_follower.cc
+++ b/src/forward/configuration_follower.cc
@@ -33,6 +33,7 @@
 bool ConfigurationFollower::ApplyItem(const platform::KeyValueItem& item) {
   if (item.revision <= m_revision ||
       (m_revision != 0 && IsMutantEnabled("forwarder_keeps_first_configuration"))) {
+    Log(kConfigurationSkipped, {{"revision", item.revision}, {"newest", m_revision}});
     return true;
   }
   m_revision = item.revision;
--- a/src/forward/prefix_feed.cc
+++ b/src/forward/prefix_feed.cc
@@ -109,6 +109,16 @@
 
 bool PrefixFeed::OnResponseHead(http1::MessageHead head) {
   m_status = head.status;
+  if (const std::optional<platform::Era> era = m_codec.DecodeEra(head.headers)) {
+    if (m_era && *era != *m_era) {
+      Log(kKeyValueRestored, {{"feed", m_settings.name},
+                              {"era", *era},
+                              {"before", *m_era},
+                              {"status", m_status},
+                              {"watch_after", m_watch_after}});
+    }
+    m_era = era;
+  }
   return true;
 }
 
@@ -229,6 +239,10 @@
   m_phase = Phase::kWatch;
   m_next_wait = m_settings.watch_time;
   const std::vector<platform::KeyValueItem> items = std::exchange(m_items, {});
+  Log(kKeyValueRead, {{"feed", m_settings.name},
+                      {"era", m_era.value_or(0)},
+                      {"revision", m_snapshot_revision},
+                      {"items", items.size()}});
   m_listener.OnSnapshot(items, m_snapshot_sent_at);
   ScheduleCall(0ms);
 }
--- a/src/forward/prefix_feed.h
+++ b/src/forward/prefix_feed.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -127,6 +128,8 @@
   BootTime m_snapshot_sent_at{};
   platform::Revision m_snapshot_revision = 0;
   platform::Revision m_watch_after = 0;
+  /// Era of the last answer that named one.
+  std::optional<platform::Era> m_era;
   /// Revision of the service at the end of the last watch.
   platform::Revision m_last_revision = 0;
   /// Wait of the next watch; zero after an interruption, to confirm the known state at once.
--- a/src/platform/key_value_codec.h
+++ b/src/platform/key_value_codec.h
@@ -2,12 +2,15 @@
 #define WAGTAILWIND_PLATFORM_KEY_VALUE_CODEC_H_
 
 #include <chrono>
+#include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "core/error.h"
+#include "http/message.h"
 #include "platform/key_value_service.h"
 
 namespace wagtailwind::platform {
@@ -21,6 +24,10 @@
 /// \brief Thrown when a response of the service can't be decoded.
 using MalformedKeyValueAnswer = wagtailwind::detail::NamedError<detail::MalformedKeyValueAnswerTag>;
 
+/// \brief Number of a history of the service. It rises when the service comes back from an older
+/// copy: writes since the copy are gone, and their revisions are given to other writes.
+using Era = std::uint64_t;
+
 /// \brief A key with its value, or the fact that it was deleted.
 struct KeyValueItem {
   std::string key;
@@ -75,6 +82,11 @@
   [[nodiscard]] virtual std::string PutRequest(std::span<const KeyValueWrite> writes,
                                                LeaseId lease) const = 0;
 
+  /// \brief Returns the era from the headers of a response of any status; empty if they do not name
+  /// it.
+  [[nodiscard]] virtual std::optional<Era> DecodeEra(
+      const std::vector<http::Header>& headers) const = 0;
+
   /// \brief Decodes the body of a successful response to a request for a lease. Throws
   /// MalformedKeyValueAnswer.
   [[nodiscard]] virtual LeaseId DecodeLease(std::string_view body) const = 0;
--- a/tests/support/forwarder_fixture.cc
+++ b/tests/support/forwarder_fixture.cc
@@ -121,6 +121,12 @@
          "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+std::optional<platform::Era> FakeDeployment::DecodeEra(
+    const std::vector<http::Header>& headers) const {
+  const std::string_view era = http::FindHeader(headers, "Era");
+  return era.empty() ? std::nullopt : std::optional<platform::Era>(std::stoull(std::string(era)));
+}
+
 platform::LeaseId FakeDeployment::DecodeLease(std::string_view body) const {
   return std::stoull(std::string(body));
 }
--- a/tests/support/forwarder_fixture.h
+++ b/tests/support/forwarder_fixture.h
@@ -7,6 +7,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -78,6 +79,9 @@
   /// \brief Writes each record as a line `key value`.
   [[nodiscard]] std::string PutRequest(std::span<const platform::KeyValueWrite> writes,
                                        platform::LeaseId lease) const override;
+  /// \brief Reads the field `Era`.
+  [[nodiscard]] std::optional<platform::Era> DecodeEra(
+      const std::vector<http::Header>& headers) const override;
   [[nodiscard]] platform::LeaseId DecodeLease(std::string_view body) const override;
   [[nodiscard]] platform::RangePage DecodeRange(std::string_view body) const override;
   [[nodiscard]] platform::WatchPage DecodeWatch(std::string_view body) const override;
--- a/tests/unit/platform_record_decoder_test.cc
+++ b/tests/unit/platform_record_decoder_test.cc
@@ -212,6 +212,16 @@
   cr_assert_neq(codec.RangeRequest("a/", "a/b c").find("SinceRev=a/b%20c"), std::string::npos);
 }
 
+// Guards against a restored store that goes unnoticed, and against an era read from another value.
+Test(platform_records, reads_the_era_of_the_store) {
+  const adapter::StoreCodec codec;
+  cr_assert(codec.DecodeEra({{"Date", "x"}, {"store-era", "7"}}) == platform::Era(7));
+  for (const char* text : {"", "x", "7x", "-1", " ", "99999999999999999999"}) {
+    cr_assert(!codec.DecodeEra({{"Store-Era", text}}), "%s", text);
+  }
+  cr_assert(!codec.DecodeEra({}));
+}
+
 // Guards against writes that the store would take for others, or that end with no lease.
 Test(platform_records, encodes_writes_to_the_store) {
   const adapter::StoreCodec codec;
