Show that a configuration is skipped after the key-value service was restored

The fake service can come back from a copy, with revisions that are given out again and another era. The test fails: after versions 1 to 3, a restore from version 1 and a new version 4, version 3 stays in force.

--- a/tests/support/fake_store.cc
+++ b/tests/support/fake_store.cc
@@ -54,6 +54,25 @@
   AnswerWatches();
 }
 
+void FakeStore::Restore(const Copy& copy) {
+  m_items = copy.items;
+  m_history = copy.history;
+  m_revision = copy.revision;
+  m_has_lease = m_has_lease && m_last_lease == copy.last_lease;
+  m_last_lease = copy.last_lease;
+  ++m_era;
+  for (const Watch& watch : m_watches) {
+    if (!watch.connection->closed()) {
+      watch.connection->Close();
+    }
+  }
+  m_watches.clear();
+}
+
+std::string FakeStore::AnswerText(int status, std::string_view body) const {
+  return HttpText(status, "Era: " + std::to_string(m_era) + "\r\n", body);
+}
+
 std::vector<std::string> FakeStore::Keys(std::string_view prefix) const {
   std::vector<std::string> keys;
   for (const auto& [key, item] : m_items) {
@@ -96,14 +115,14 @@
 
 void FakeStore::AnswerPage(const Watch& watch, const std::vector<platform::KeyValueItem>& changes) {
   Answer(*watch.connection,
-         HttpText(kOk, "", m_wire.EncodePage(StoreCall::Kind::kWatch, changes, m_revision, false)));
+         AnswerText(kOk, m_wire.EncodePage(StoreCall::Kind::kWatch, changes, m_revision, false)));
 }
 
 void FakeStore::Handle(ScriptedServer::Connection& connection) {
   const StoreCall call = m_wire.ParseCall(connection.head.target);
   ++calls[call.path];
   if (m_calls_until_refusal >= 0 && m_calls_until_refusal-- == 0) {
-    Answer(connection, HttpText(m_refusal, "", ""));
+    Answer(connection, AnswerText(m_refusal, ""));
     return;
   }
   if (m_endless) {
@@ -118,24 +137,24 @@
   }
   if (m_fault != 0) {
     if (m_fault > 0) {
-      Answer(connection, HttpText(m_fault, "", ""));
+      Answer(connection, AnswerText(m_fault, ""));
     }
     return;
   }
   if (call.kind == StoreCall::Kind::kLease) {
     m_has_lease = true;
-    Answer(connection, HttpText(kOk, "", m_wire.EncodeLease(++m_last_lease)));
+    Answer(connection, AnswerText(kOk, m_wire.EncodeLease(++m_last_lease)));
     return;
   }
   if (call.kind == StoreCall::Kind::kPut) {
     if (!m_has_lease) {
-      Answer(connection, HttpText(kNotFound, "", ""));
+      Answer(connection, AnswerText(kNotFound, ""));
       return;
     }
     for (const platform::KeyValueWrite& write : m_wire.ParsePuts(connection.body)) {
       Put(write.key, write.value);
     }
-    Answer(connection, HttpText(kOk, "", "{}"));
+    Answer(connection, AnswerText(kOk, "{}"));
     return;
   }
   if (call.kind == StoreCall::Kind::kRange) {
@@ -147,12 +166,11 @@
     }
     const bool has_more = items.size() > m_page_size;
     items.resize(std::min(items.size(), m_page_size));
-    Answer(connection,
-           HttpText(kOk, "", m_wire.EncodePage(call.kind, items, m_revision, has_more)));
+    Answer(connection, AnswerText(kOk, m_wire.EncodePage(call.kind, items, m_revision, has_more)));
     return;
   }
-  if (call.after < m_compacted) {
-    Answer(connection, HttpText(kGone, "", ""));
+  if (call.after < m_compacted || call.after > m_revision) {
+    Answer(connection, AnswerText(kGone, ""));
     return;
   }
   last_wait = call.wait;
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -115,6 +115,24 @@
   /// \brief Answers writes with the status for a lease that has ended, until the next lease.
   void EndLeases() { m_has_lease = false; }
 
+  /// \brief What a copy of the service holds.
+  struct Copy {
+    std::map<std::string, platform::KeyValueItem> items;
+    std::vector<platform::KeyValueItem> history;
+    platform::Revision revision = 0;
+    platform::LeaseId last_lease = 0;
+  };
+
+  /// \brief Returns a copy of the service as it is now.
+  [[nodiscard]] Copy TakeCopy() const {
+    return {
+        .items = m_items, .history = m_history, .revision = m_revision, .last_lease = m_last_lease};
+  }
+
+  /// \brief Replaces the content by that of a copy: later writes and leases are gone, their
+  /// revisions are given out again, and the era rises by one. Waiting watches are cut.
+  void Restore(const Copy& copy);
+
   /// \brief Returns the current keys that begin with a prefix.
   [[nodiscard]] std::vector<std::string> Keys(std::string_view prefix) const;
 
@@ -134,6 +152,8 @@
 
   void Handle(ScriptedServer::Connection& connection);
   void Answer(ScriptedServer::Connection& connection, const std::string& text);
+  /// Returns an answer with the header that names the era.
+  [[nodiscard]] std::string AnswerText(int status, std::string_view body) const;
   void AnswerPage(const Watch& watch, const std::vector<platform::KeyValueItem>& changes);
   [[nodiscard]] std::vector<platform::KeyValueItem> Changes(const StoreCall& call) const;
   void AnswerWatches();
@@ -159,6 +179,7 @@
   platform::Revision m_compacted = 0;
   std::chrono::milliseconds m_delay{0};
   int m_fault = 0;
+  platform::Era m_era = 1;
   platform::LeaseId m_last_lease = 0;
   bool m_has_lease = false;
 };
--- /dev/null
+++ b/tests/unit/forward_restored_store_test.cc
@@ -0,0 +1,64 @@
+// A key-value service that comes back from an older copy.
+
+#include <string>
+
+#include "support/forwarder_fixture.h"
+
+// Included last because its macros break the headers of Abseil.
+#include <criterion/criterion.h>
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace wagtailwind;  // NOLINT(google-build-using-namespace)
+using forward::RequestKind;
+using testing::ForwarderFixture;
+
+/// A forwarder that follows a service of which a copy is taken.
+struct RestoredStore : ForwarderFixture {
+  RestoredStore() {
+    AddEndpoint("e1", testing::AnswerOk);
+    Configure(RouteWithTimeout(1s));
+    Start();
+    copy = store.TakeCopy();
+  }
+
+  [[nodiscard]] static forward::Route RouteWithTimeout(std::chrono::milliseconds timeout) {
+    auto route = testing::TestRoute(RequestKind::kIdempotent);
+    route.timeout = timeout;
+    return route;
+  }
+
+  /// The service is away, and comes back from the copy.
+  void Restore() {
+    store.SetFault(503);
+    loop.RunFor(300ms);
+    store.Restore(copy);
+    store.SetFault(0);
+  }
+
+  bool RunUntilVersion(double version) {
+    return RunUntil([&] { return Version() == version; });
+  }
+
+  [[nodiscard]] double Version() {
+    return metrics.GetGauge("forward_configuration_version").value();
+  }
+
+  testing::FakeStore::Copy copy;
+};
+
+}  // namespace
+
+// Guards against routers that don't take a confirmed configuration after the key-value service has
+// come back from an older copy: its revision may have been given out before (CONFIG).
+Test(forward_restored_store, takes_the_next_configuration, .timeout = 30) {
+  RestoredStore fixture;
+  fixture.Configure(RestoredStore::RouteWithTimeout(2s));
+  fixture.Configure(RestoredStore::RouteWithTimeout(3s));
+  cr_assert(fixture.RunUntilVersion(3));
+  fixture.Restore();
+  cr_assert(fixture.RunUntil([&] { return fixture.store.calls["/range"] >= 2; }));
+  fixture.Configure(RestoredStore::RouteWithTimeout(4s));
+  cr_assert(fixture.RunUntilVersion(4));
+}
