Take configurations with revisions that were given out before

Callers got 404 for a route that had been added, and were served by routes that had been dropped, after the key-value service had come back from an older copy.

Cause: the follower of the configuration skips items whose revision isn't above the highest that it has read. A restored service gives revisions out again, so a new configuration may have an old revision. Revisions of two histories were compared.

Change: the feed reports to its followers that the service was restored, which it learns from the era in each answer, and the follower of the configuration starts its revisions anew. The version still keeps an older configuration out.

--- a/src/forward/configuration_follower.cc
+++ b/src/forward/configuration_follower.cc
@@ -30,6 +30,14 @@
   }
 }
 
+// Revisions order items only within one era. The version keeps an older configuration from being
+// applied across eras.
+void ConfigurationFollower::OnServiceRestored() {
+  if (!IsMutantEnabled("forwarder_compares_revisions_across_eras")) {
+    m_revision = 0;
+  }
+}
+
 bool ConfigurationFollower::ApplyItem(const platform::KeyValueItem& item) {
   if (item.revision <= m_revision ||
       (m_revision != 0 && IsMutantEnabled("forwarder_keeps_first_configuration"))) {
--- a/src/forward/configuration_follower.h
+++ b/src/forward/configuration_follower.h
@@ -19,6 +19,7 @@
 
   void OnSnapshot(const std::vector<platform::KeyValueItem>& items, BootTime valid_as_of) override;
   void OnChanges(const std::vector<platform::KeyValueItem>& changes, BootTime valid_as_of) override;
+  void OnServiceRestored() override;
 
  private:
   /// Applies the configuration in the item if it is newer. Returns false if the item is the newest
@@ -27,6 +28,7 @@
 
   ForwardContext& m_context;
   const DeploymentAdapter& m_adapter;
+  /// Revision of the newest item in the current era of the service.
   platform::Revision m_revision = 0;
   /// The newest configuration could not be decoded, so the one in force can't be confirmed.
   bool m_newest_unreadable = false;
--- a/src/forward/prefix_feed.cc
+++ b/src/forward/prefix_feed.cc
@@ -109,19 +109,26 @@
 
 bool PrefixFeed::OnResponseHead(http1::MessageHead head) {
   m_status = head.status;
-  if (const std::optional<platform::Era> era = m_codec.DecodeEra(head.headers)) {
-    if (m_era && *era != *m_era) {
-      Log(kKeyValueRestored, {{"feed", m_settings.name},
-                              {"era", *era},
-                              {"before", *m_era},
-                              {"status", m_status},
-                              {"watch_after", m_watch_after}});
-    }
-    m_era = era;
-  }
+  CheckEra(head);
   return true;
 }
 
+void PrefixFeed::CheckEra(const http1::MessageHead& head) {
+  const std::optional<platform::Era> era = m_codec.DecodeEra(head.headers);
+  if (!era) {
+    return;
+  }
+  const std::optional<platform::Era> before = std::exchange(m_era, era);
+  if (before && *before != *era) {
+    m_is_restored = true;
+    Log(kKeyValueRestored, {{"feed", m_settings.name},
+                            {"era", *era},
+                            {"before", *before},
+                            {"status", m_status},
+                            {"watch_after", m_watch_after}});
+  }
+}
+
 void PrefixFeed::OnResponseBody(std::string_view part) {
   if (m_is_too_large) {
     return;
@@ -189,6 +196,9 @@
     Log(kKeyValueRegained, {{"feed", m_settings.name}});
     m_listener.OnFeedRegained(m_last_failed_at);
   }
+  if (std::exchange(m_is_restored, false)) {
+    m_listener.OnServiceRestored();
+  }
 }
 
 void PrefixFeed::OnCallFailed(std::string_view reason, bool is_refusal) {
--- a/src/forward/prefix_feed.h
+++ b/src/forward/prefix_feed.h
@@ -38,6 +38,11 @@
   /// `last_failed` is the time at which the last failed call was sent: the service may have
   /// recovered at any time since then.
   virtual void OnFeedRegained(SteadyTime /*last_failed*/) {}
+
+  /// \brief Called when the service has come back from an older copy, before the content of the
+  /// response is reported: it may be older than what was reported before, and revisions that were
+  /// reported before may belong to other writes.
+  virtual void OnServiceRestored() {}
 };
 
 /// \brief Source and timing of a feed.
@@ -75,6 +80,8 @@
  private:
   enum class Phase : std::uint8_t { kRange, kWatch };
 
+  /// Compares the era of an answer with that of the one before.
+  void CheckEra(const http1::MessageHead& head);
   /// Sends the next range or watch request.
   void SendCall();
   void ScheduleCall(std::chrono::milliseconds delay);
@@ -130,6 +137,8 @@
   platform::Revision m_watch_after = 0;
   /// Era of the last answer that named one.
   std::optional<platform::Era> m_era;
+  /// The listener does not know yet that the service was restored.
+  bool m_is_restored = false;
   /// Revision of the service at the end of the last watch.
   platform::Revision m_last_revision = 0;
   /// Wait of the next watch; zero after an interruption, to confirm the known state at once.
--- a/src/forward/record_dispatcher.cc
+++ b/src/forward/record_dispatcher.cc
@@ -65,4 +65,13 @@
   }
 }
 
+void RecordDispatcher::OnServiceRestored() {
+  m_followers.configuration.OnServiceRestored();
+  m_followers.endpoints.OnServiceRestored();
+  m_followers.evacuations.OnServiceRestored();
+  for (FeedListener* follower : m_followers.routers) {
+    follower->OnServiceRestored();
+  }
+}
+
 }  // namespace wagtailwind::forward
--- a/src/forward/record_dispatcher.h
+++ b/src/forward/record_dispatcher.h
@@ -32,6 +32,7 @@
   void OnChanges(const std::vector<platform::KeyValueItem>& changes, BootTime valid_as_of) override;
   void OnFeedLost() override;
   void OnFeedRegained(SteadyTime last_failed) override;
+  void OnServiceRestored() override;
 
  private:
   struct Parts {
--- a/tests/unit/forward_record_dispatcher_test.cc
+++ b/tests/unit/forward_record_dispatcher_test.cc
@@ -16,6 +16,7 @@
   void OnChanges(const Items& items, BootTime) override { Add("changes", items); }
   void OnFeedLost() override { events.emplace_back("lost"); }
   void OnFeedRegained(SteadyTime) override { events.emplace_back("regained"); }
+  void OnServiceRestored() override { events.emplace_back("restored"); }
 
   void Add(std::string event, const Items& items) {
     for (const platform::KeyValueItem& item : items) {
@@ -55,15 +56,16 @@
   dispatcher.OnChanges({Item("evacuated/zone-1")}, {});
   dispatcher.OnFeedLost();
   dispatcher.OnFeedRegained({});
+  dispatcher.OnServiceRestored();
   // A watch without a change of the configuration confirms it as well.
   cr_assert(configuration.events ==
             Events({"snapshot configuration other", "changes", "changes configuration", "changes",
-                    "lost", "regained"}));
+                    "lost", "regained", "restored"}));
   cr_assert(evacuations.events ==
-            Events({"snapshot", "changes evacuated/zone-1", "lost", "regained"}));
+            Events({"snapshot", "changes evacuated/zone-1", "lost", "regained", "restored"}));
   cr_assert(endpoints.events ==
-            Events({"snapshot endpoint/a", "changes endpoint/b", "lost", "regained"}));
+            Events({"snapshot endpoint/a", "changes endpoint/b", "lost", "regained", "restored"}));
   cr_assert(routers.events ==
-            Events({"snapshot router/1", "changes router/2", "lost", "regained"}));
+            Events({"snapshot router/1", "changes router/2", "lost", "regained", "restored"}));
   cr_assert(other_routers.events == routers.events);
 }
--- a/tests/unit/forward_restored_store_test.cc
+++ b/tests/unit/forward_restored_store_test.cc
@@ -62,3 +62,15 @@
   fixture.Configure(RestoredStore::RouteWithTimeout(4s));
   cr_assert(fixture.RunUntilVersion(4));
 }
+
+// Guards against a router that goes back to an older configuration: the copy may hold one until the
+// operators have written the newest again (CONFIG).
+Test(forward_restored_store, keeps_the_newest_configuration, .timeout = 30) {
+  RestoredStore fixture;
+  fixture.Configure(RestoredStore::RouteWithTimeout(2s));
+  cr_assert(fixture.RunUntilVersion(2));
+  fixture.Restore();
+  cr_assert(fixture.RunUntil([&] { return fixture.store.calls["/range"] >= 2; }));
+  fixture.loop.RunFor(200ms);
+  cr_assert_eq(fixture.Version(), 2);
+}
--- a/tests/unit/mutants_test.sh
+++ b/tests/unit/mutants_test.sh
@@ -43,6 +43,7 @@
   [admission_has_constant_retry_after]=admission_control/names_times_by_the_rate_of_ends
   [admission_refuses_while_slots_are_free]=admission_control/refuses_nothing_while_slots_are_free
   [forwarder_passes_on_reserved_fields]=forward_reserved_fields/of_callers_do_not_reach_endpoints
+  [forwarder_compares_revisions_across_eras]=forward_restored_store/takes_the_next_configuration
   [forwarder_closes_new_connections]=forward_stop/answers_the_first_request_of_a_new_connection
 )
 passed=0
