Read everything again when the key-value service was restored

Callers were served by an older configuration after the service had come back from an older copy while endpoints started.

Cause: the feed goes on with its watch from a revision of the lost history, and with the next page of a read that began there. Only status 410 told it otherwise, and the service knows that revision again once it has been given to another write. What stands before it in the new history is missed.

Change: if an answer has another era than the one before, the feed discards what it continues, and reads the prefix again from the first page.

--- a/src/forward/prefix_feed.cc
+++ b/src/forward/prefix_feed.cc
@@ -165,6 +165,11 @@
                  m_status == kTooManyRequests || m_status == kUnavailable);
     return;
   }
+  if (ContinuesEarlierEra() && !IsMutantEnabled("forwarder_watches_across_eras")) {
+    OnCallSucceeded();
+    Resynchronise();
+    return;
+  }
   try {
     m_phase == Phase::kRange ? FinishRange() : FinishWatch();
   } catch (const platform::MalformedKeyValueAnswer& error) {
@@ -299,6 +304,12 @@
   return may_pause && !page.changes.empty() ? m_settings.pause_after_change : 0ms;
 }
 
+// The revision of a watch, and the earlier pages of a read, belong to the era of the answers
+// before. The service knows them as soon as it has given the revision to another write.
+bool PrefixFeed::ContinuesEarlierEra() const noexcept {
+  return m_is_restored && (m_phase == Phase::kWatch || !m_items.empty());
+}
+
 bool PrefixFeed::IsLateCopy(const platform::WatchPage& page) const noexcept {
   return std::any_of(
       page.changes.begin(), page.changes.end(),
--- a/src/forward/prefix_feed.h
+++ b/src/forward/prefix_feed.h
@@ -65,7 +65,7 @@
 /// \brief Follows the keys with a prefix in the key-value service: a full read, then watches.
 ///
 /// Dead connections are detected by TCP probes. The whole prefix is read again when the service has
-/// dropped the history that a watch needs.
+/// dropped the history that a watch needs, or has come back from an older copy.
 class PrefixFeed final : private http1::ResponseObserver {
  public:
   /// \brief All references must outlive the feed.
@@ -91,6 +91,8 @@
   void OnCallFailed(std::string_view reason, bool is_refusal = false);
   void FinishRange();
   void FinishWatch();
+  /// Whether the current call goes on from an answer of an earlier era.
+  [[nodiscard]] bool ContinuesEarlierEra() const noexcept;
   /// Whether a watch response repeats changes that were known before the call, so that it is a late
   /// copy of an earlier response.
   [[nodiscard]] bool IsLateCopy(const platform::WatchPage& page) const noexcept;
--- a/tests/unit/forward_prefix_feed_test.cc
+++ b/tests/unit/forward_prefix_feed_test.cc
@@ -17,7 +17,9 @@
 
 struct Listener final : forward::FeedListener {
   void OnSnapshot(const std::vector<platform::KeyValueItem>& items, BootTime valid_as_of) override {
-    ++snapshots;
+    if (++snapshots == 1) {
+      first_items = items.size();
+    }
     last_items = items.size();
     confirmed_at = valid_as_of;
   }
@@ -38,7 +40,10 @@
     failed_at = last_failed;
   }
 
+  void OnServiceRestored() override { ++restored; }
+
   int snapshots = 0;
+  std::size_t first_items = 0;
   std::size_t last_items = 0;
   std::vector<std::string> keys;
   int quiet_watches = 0;
@@ -46,6 +51,7 @@
   std::vector<BootTime> quiet_confirmations;
   int lost = 0;
   int regained = 0;
+  int restored = 0;
   SteadyTime failed_at{};
   BootTime confirmed_at{};
 };
@@ -112,6 +118,45 @@
   cr_assert(fixture.listener.failed_at <= returned_at);
 }
 
+// Guards against changes that are missed after the service has come back from an older copy: a
+// watch that goes on from a revision of the lost history reports only what the new one has after it
+// (CONFIG).
+Test(prefix_feed, reads_everything_again_when_the_service_was_restored) {
+  Fixture fixture;
+  fixture.store.Put("endpoint/a", "1");
+  fixture.Start();
+  cr_assert(fixture.RunUntil([&] { return fixture.listener.snapshots == 1; }));
+  const FakeStore::Copy copy = fixture.store.TakeCopy();
+  fixture.store.Put("endpoint/lost", "1");
+  cr_assert(fixture.RunUntil([&] { return fixture.listener.keys.size() == 1; }));
+  fixture.store.SetFault(503);
+  cr_assert(fixture.RunUntil([&] { return fixture.listener.lost == 1; }));
+  fixture.store.Restore(copy);
+  fixture.store.Put("endpoint/b", "1");
+  fixture.store.Put("endpoint/c", "1");
+  fixture.store.SetFault(0);
+  cr_assert(fixture.RunUntil([&] { return fixture.listener.snapshots == 2; }));
+  cr_assert_eq(fixture.listener.last_items, 3);
+  cr_assert_eq(fixture.listener.restored, 1);
+}
+
+// Guards against a list that is put together from pages of two histories.
+Test(prefix_feed, begins_a_read_of_many_pages_again_when_the_service_was_restored) {
+  Fixture fixture;
+  for (int i = 11; i < 40; ++i) {
+    fixture.store.Put("endpoint/" + std::to_string(i), "1");
+  }
+  const FakeStore::Copy copy = fixture.store.TakeCopy();
+  fixture.store.Put("endpoint/10", "1");
+  fixture.store.SetPageSize(10);
+  fixture.store.RefuseOnce(1, 503);
+  fixture.Start();
+  cr_assert(fixture.RunUntil([&] { return fixture.store.calls["/range"] == 2; }));
+  fixture.store.Restore(copy);
+  cr_assert(fixture.RunUntil([&] { return fixture.listener.snapshots >= 1; }));
+  cr_assert_eq(fixture.listener.first_items, 29);
+}
+
 // Guards against waiting forever for a service that neither responds nor closes, as when a
 // connection was dropped without a reset.
 Test(prefix_feed, gives_up_a_silent_call_and_recovers) {
--- a/tests/unit/forward_restored_store_test.cc
+++ b/tests/unit/forward_restored_store_test.cc
@@ -74,3 +74,18 @@
   fixture.loop.RunFor(200ms);
   cr_assert_eq(fixture.Version(), 2);
 }
+
+// Guards against a watch that goes on in the middle of the new history: the configuration that the
+// operators have written again stands before that place (CONFIG).
+Test(forward_restored_store, misses_no_change, .timeout = 30) {
+  RestoredStore fixture;
+  fixture.store.Put("endpoint/e2", "engine 127.0.0.1:1 draining 1");
+  fixture.loop.RunFor(100ms);
+  fixture.store.SetFault(503);
+  fixture.loop.RunFor(300ms);
+  fixture.store.Restore(fixture.copy);
+  fixture.Configure(RestoredStore::RouteWithTimeout(2s));
+  fixture.store.Put("endpoint/e2", "engine 127.0.0.1:1 draining 1");
+  fixture.store.SetFault(0);
+  cr_assert(fixture.RunUntilVersion(2));
+}
--- a/tests/unit/mutants_test.sh
+++ b/tests/unit/mutants_test.sh
@@ -44,6 +44,7 @@
   [admission_refuses_while_slots_are_free]=admission_control/refuses_nothing_while_slots_are_free
   [forwarder_passes_on_reserved_fields]=forward_reserved_fields/of_callers_do_not_reach_endpoints
   [forwarder_compares_revisions_across_eras]=forward_restored_store/takes_the_next_configuration
+  [forwarder_watches_across_eras]=forward_restored_store/misses_no_change
   [forwarder_closes_new_connections]=forward_stop/answers_the_first_request_of_a_new_connection
 )
 passed=0
