Use endpoints by what is known while a restored service lists an older state

After the key-value service has come back from an older copy, its list of endpoints is some seconds old: those that have started since are missing, and those that have left or were restarted are listed again. Missing ones went out of use at once if the router had not counted the service as lost, and gone ones got requests again, which an endpoint that leaves must not get (DRAIN).

Change: the registry treats a restore as the end of an outage, which has a grace time for missing entries, and leaves out entries of processes that it has removed until they are written again or outlast an expired entry.

Three tests of endpoint_registry fail without it (mutant forwarder_trusts_restored_entries).

--- a/src/balancing/endpoint_registry.cc
+++ b/src/balancing/endpoint_registry.cc
@@ -18,9 +18,13 @@
 // this router noticed the recovery late.
 constexpr std::chrono::milliseconds kRewriteGraceTime = 2'500ms;
 
-// Number of announcements that are remembered: more than endpoints leave within the time in which a
-// deleted entry of the same process may be written again.
-constexpr std::size_t kMaxLeaving = 256;
+// Number of processes that are remembered as leaving or gone: more than endpoints leave within the
+// time in which a deleted entry of the same process may be written again.
+constexpr std::size_t kMaxRemembered = 256;
+
+// Entries are removed after three heartbeats of silence, of little more than a second each. One
+// that a restored service still lists after this time belongs to a live process.
+constexpr std::chrono::milliseconds kOutdatedEntryTime = 5'000ms;
 
 // Initial value: the service has not been seen to recover. A process that starts during an outage
 // has no recovery to count the grace time from.
@@ -40,7 +44,20 @@
 EndpointRegistry::EndpointRegistry(std::function<void(const EndpointPtr&)> on_removed)
     : m_on_removed(std::move(on_removed)) {}
 
+EndpointRegistry::Process EndpointRegistry::ProcessOf(const EndpointRecord& record) {
+  return {.name = record.name, .incarnation = record.incarnation, .address = record.address};
+}
+
+void EndpointRegistry::Remember(std::deque<Process>& processes, const EndpointRecord& record) {
+  processes.push_back(ProcessOf(record));
+  if (processes.size() > kMaxRemembered) {
+    processes.pop_front();
+  }
+}
+
 void EndpointRegistry::Put(const EndpointRecord& record) {
+  std::erase_if(m_outdated,
+                [&record](const EndpointRecord& other) { return other.name == record.name; });
   const auto found = m_entries.find(record.name.value());
   const bool same_process = found != m_entries.end() &&
                             found->second.endpoint->record.incarnation == record.incarnation &&
@@ -53,6 +70,7 @@
     if (!average) {
       average = std::make_shared<LoadReportAverage>();
     }
+    std::erase(m_gone, ProcessOf(record));
     auto endpoint = std::make_shared<Endpoint>();
     endpoint->record = record;
     endpoint->record.draining = record.draining || HasAnnouncedLeaving(record);
@@ -86,6 +104,8 @@
 }
 
 void EndpointRegistry::Delete(std::string_view name, SteadyTime now) {
+  std::erase_if(m_outdated,
+                [name](const EndpointRecord& other) { return other.name.value() == name; });
   const auto found = m_entries.find(name);
   if (found == m_entries.end()) {
     return;
@@ -105,9 +125,14 @@
 
 void EndpointRegistry::Replace(const std::vector<EndpointRecord>& records, SteadyTime now) {
   std::set<std::string_view> present;
+  m_outdated.clear();
   for (const EndpointRecord& record : records) {
-    present.insert(record.name.value());
-    Put(record);
+    if (IsOutdated(record, now)) {
+      m_outdated.push_back(record);
+    } else {
+      present.insert(record.name.value());
+      Put(record);
+    }
   }
   std::vector<std::string> missing;
   for (const auto& [name, entry] : m_entries) {
@@ -129,7 +154,25 @@
   }
 }
 
+void EndpointRegistry::OnServiceRestored(SteadyTime now) noexcept {
+  if (IsMutantEnabled("forwarder_trusts_restored_entries")) {
+    return;
+  }
+  m_last_lost = now;
+  m_outdated_until = now + kOutdatedEntryTime;
+}
+
+bool EndpointRegistry::IsOutdated(const EndpointRecord& record, SteadyTime now) const {
+  return now < m_outdated_until &&
+         std::find(m_gone.begin(), m_gone.end(), ProcessOf(record)) != m_gone.end();
+}
+
 void EndpointRegistry::RemoveExpired(SteadyTime now) {
+  if (now >= m_outdated_until) {
+    for (const EndpointRecord& record : std::exchange(m_outdated, {})) {
+      Put(record);
+    }
+  }
   if (m_service_lost || !m_has_missing) {
     return;
   }
@@ -158,12 +201,7 @@
   if (HasAnnouncedLeaving(endpoint.record)) {
     return false;
   }
-  m_leaving.push_back({.name = endpoint.record.name,
-                       .incarnation = endpoint.record.incarnation,
-                       .address = endpoint.record.address});
-  if (m_leaving.size() > kMaxLeaving) {
-    m_leaving.pop_front();
-  }
+  Remember(m_leaving, endpoint.record);
   endpoint.record.draining = true;
   endpoint.usable = false;
   m_lists_outdated = true;
@@ -171,9 +209,8 @@
 }
 
 bool EndpointRegistry::HasAnnouncedLeaving(const EndpointRecord& record) const {
-  const LeavingProcess process{
-      .name = record.name, .incarnation = record.incarnation, .address = record.address};
-  return std::any_of(m_leaving.begin(), m_leaving.end(), [&process](const LeavingProcess& leaving) {
+  const Process process = ProcessOf(record);
+  return std::any_of(m_leaving.begin(), m_leaving.end(), [&process](const Process& leaving) {
     return leaving == process || (leaving.name.value() == process.name.value() &&
                                   IsMutantEnabled("forwarder_keeps_leaving_for_the_next_process"));
   });
@@ -211,6 +248,7 @@
 void EndpointRegistry::Remove(std::map<std::string, Entry, std::less<>>::iterator entry) {
   const EndpointPtr endpoint = std::move(entry->second.endpoint);
   m_entries.erase(entry);
+  Remember(m_gone, endpoint->record);
   endpoint->usable = false;
   if (m_on_removed) {
     m_on_removed(endpoint);
--- a/src/balancing/endpoint_registry.h
+++ b/src/balancing/endpoint_registry.h
@@ -41,8 +41,13 @@
   /// `last_lost`.
   void OnServiceRegained(SteadyTime last_lost) noexcept;
 
+  /// \brief Called when the key-value service has come back from an older copy. Until the endpoints
+  /// have written their entries again, missing ones stay in use, and entries of processes that are
+  /// known to be gone are left out.
+  void OnServiceRestored(SteadyTime now) noexcept;
+
   /// \brief Removes endpoints whose entries were not written again within the grace time after an
-  /// outage.
+  /// outage, and adds those whose entries have outlasted the time of an outdated one.
   void RemoveExpired(SteadyTime now);
 
   /// \brief Stops using an endpoint because another process answers at its address. A process that
@@ -84,15 +89,20 @@
     std::optional<SteadyTime> grace_until{};
   };
 
-  /// A process that has announced that it leaves.
-  struct LeavingProcess {
+  /// A process of an endpoint.
+  struct Process {
     EndpointName name;
     Incarnation incarnation = 0;
     std::string address;
 
-    friend bool operator==(const LeavingProcess&, const LeavingProcess&) = default;
+    friend bool operator==(const Process&, const Process&) = default;
   };
 
+  [[nodiscard]] static Process ProcessOf(const EndpointRecord& record);
+  /// Adds a process to a list of the newest ones.
+  static void Remember(std::deque<Process>& processes, const EndpointRecord& record);
+  /// Whether an entry of a restored service is outdated: its process was seen to be gone.
+  [[nodiscard]] bool IsOutdated(const EndpointRecord& record, SteadyTime now) const;
   [[nodiscard]] bool HasAnnouncedLeaving(const EndpointRecord& record) const;
   void Remove(std::map<std::string, Entry, std::less<>>::iterator entry);
   void RefreshLists() const;
@@ -101,7 +111,12 @@
   std::map<std::string, Entry, std::less<>> m_entries;
   std::vector<AvailabilityZoneName> m_evacuated_zones;
   /// The newest announcements, the oldest first.
-  std::deque<LeavingProcess> m_leaving;
+  std::deque<Process> m_leaving;
+  /// The processes that were removed last, the oldest first.
+  std::deque<Process> m_gone;
+  /// Entries that are left out as outdated until m_outdated_until.
+  std::vector<EndpointRecord> m_outdated;
+  SteadyTime m_outdated_until{};
   /// By service.
   std::map<std::string, std::shared_ptr<LoadReportAverage>, std::less<>> m_load_averages;
   /// Derived from the entries; m_lists_outdated tells whether they must be rebuilt.
--- a/src/forward/endpoint_follower.cc
+++ b/src/forward/endpoint_follower.cc
@@ -69,4 +69,8 @@
   m_context.endpoints.OnServiceRegained(last_failed);
 }
 
+void EndpointFollower::OnServiceRestored() {
+  m_context.endpoints.OnServiceRestored(m_context.clock.Now());
+}
+
 }  // namespace wagtailwind::forward
--- a/src/forward/endpoint_follower.h
+++ b/src/forward/endpoint_follower.h
@@ -20,6 +20,7 @@
   void OnChanges(const std::vector<platform::KeyValueItem>& changes, BootTime valid_as_of) override;
   void OnFeedLost() override;
   void OnFeedRegained(SteadyTime last_failed) override;
+  void OnServiceRestored() override;
 
  private:
   /// Records for how long the endpoint of an entry is still cold.
--- a/tests/unit/forward_endpoint_registry_test.cc
+++ b/tests/unit/forward_endpoint_registry_test.cc
@@ -125,6 +125,58 @@
   cr_assert_eq(fixture.Usable(), 0);
 }
 
+// Guards against losing endpoints that have started since the copy from which the key-value service
+// has come back: they write their entries again within the grace time.
+Test(endpoint_registry, keeps_endpoints_that_a_restored_service_does_not_list_yet) {
+  Fixture fixture;
+  fixture.registry.Put(Record("a"));
+  fixture.registry.Put(Record("b"));
+  fixture.registry.OnServiceRestored(fixture.clock.Now());
+  fixture.registry.Replace({Record("a")}, fixture.clock.Now());
+  cr_assert_eq(fixture.Usable(), 2);
+  fixture.clock.Advance(3s);
+  fixture.registry.RemoveExpired(fixture.clock.Now());
+  cr_assert_eq(fixture.Usable(), 1);
+}
+
+// Guards against sending requests to a process that has left, or that was restarted, because the
+// copy from which the key-value service has come back still lists it (DRAIN), and against leaving
+// out one that is alive.
+Test(endpoint_registry, leaves_gone_processes_that_a_restored_service_lists_again) {
+  Fixture fixture;
+  fixture.registry.Put(Record("left"));
+  fixture.registry.Put(Record("restarted"));
+  fixture.registry.Put(Record("alive"));
+  fixture.registry.Delete("left", fixture.clock.Now());
+  fixture.registry.Put(Record("restarted", false, 2));
+  fixture.registry.Delete("alive", fixture.clock.Now());
+  fixture.registry.OnServiceRestored(fixture.clock.Now());
+  fixture.registry.Replace({Record("left"), Record("restarted"), Record("alive")},
+                           fixture.clock.Now());
+  cr_assert_eq(fixture.Usable(), 1);
+  cr_assert_eq(fixture.registry.Find("restarted")->record.incarnation, 2);
+  fixture.registry.Put(Record("alive"));
+  cr_assert_eq(fixture.Usable(), 2);
+  fixture.registry.Delete("left", fixture.clock.Now());
+  fixture.clock.Advance(10s);
+  fixture.registry.RemoveExpired(fixture.clock.Now());
+  cr_assert(fixture.registry.Find("alive") != nullptr);
+  cr_assert(fixture.registry.Find("left") == nullptr);
+}
+
+// Guards against leaving out for good an endpoint that was alive all the time: its entry stays.
+Test(endpoint_registry, uses_a_process_whose_restored_entry_does_not_expire) {
+  Fixture fixture;
+  fixture.registry.Put(Record("a"));
+  fixture.registry.Delete("a", fixture.clock.Now());
+  fixture.registry.OnServiceRestored(fixture.clock.Now());
+  fixture.registry.Replace({Record("a")}, fixture.clock.Now());
+  cr_assert_eq(fixture.Usable(), 0);
+  fixture.clock.Advance(10s);
+  fixture.registry.RemoveExpired(fixture.clock.Now());
+  cr_assert_eq(fixture.Usable(), 1);
+}
+
 // Guards against applying the grace time after an outage to an endpoint that was already draining.
 Test(endpoint_registry, does_not_keep_draining_endpoints_through_an_outage) {
   Fixture fixture;
