Write records again that the key-value service has lost

A service that comes back from an older copy has lost the newest records of routers with their lease. Reports of crashes and request limits then stay unknown to routers that start later, which send prompts that crash endpoints to some more of them. Found by reading for the same cause: the writer forgot what the service had acknowledged.

Change: the writer keeps what was accepted in the last minute, a few records, and writes it again under a new lease when the service was restored.

record_writer/writes_lost_records_again_when_the_service_was_restored fails without it (mutant forwarder_forgets_accepted_records).

--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -277,7 +277,7 @@
                     .configuration = m_configuration_follower,
                     .endpoints = m_endpoint_follower,
                     .evacuations = m_evacuation_follower,
-                    .routers = {&m_crash_reports, &m_limits, &m_routers}}),
+                    .routers = {&m_writer, &m_crash_reports, &m_limits, &m_routers}}),
       m_callers(std::make_unique<CallerHost>(*this)),
       m_admin(std::make_unique<AdminHost>(*this)),
       m_tick(loop, [this] { Tick(); }),
--- a/src/forward/record_writer.cc
+++ b/src/forward/record_writer.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/mutant.h"
 #include "forward/key_value_backoff.h"
 #include "forward/log_events.h"
 
@@ -19,9 +20,14 @@
 // Records share a lease for this time, so that a series of them costs one call for the lease.
 constexpr std::chrono::seconds kLeaseShareTime{10};
 
-// Records that wait for the service. A router writes a few in a minute.
+// Records that wait for the service, and accepted ones that are kept. A router writes a few in a
+// minute.
 constexpr std::size_t kMaxQueue = 64;
 
+// Time for which an accepted record is kept: the service may come back from a copy that is some
+// seconds old, after a short outage.
+constexpr std::chrono::seconds kMaxCopyAge{60};
+
 // Writes in one call; the service accepts 32.
 constexpr std::size_t kMaxWritesPerCall = 16;
 
@@ -136,7 +142,7 @@
       return;
     }
   } else {
-    m_queue.erase(m_queue.begin(), m_queue.begin() + static_cast<std::ptrdiff_t>(m_in_call));
+    AcceptWrites();
   }
   CountCall("answered");
   m_call_in_progress = false;
@@ -148,6 +154,43 @@
   }
 }
 
+void RecordWriter::AcceptWrites() {
+  const BootTime now = m_clock.BootNow();
+  for (; m_in_call > 0; --m_in_call) {
+    std::erase_if(m_accepted, [this](const AcceptedWrite& accepted) {
+      return accepted.write.key == m_queue.front().key;
+    });
+    m_accepted.push_back({.write = std::move(m_queue.front()), .accepted_at = now});
+    m_queue.pop_front();
+  }
+  RemoveOldWrites();
+}
+
+void RecordWriter::RemoveOldWrites() {
+  const BootTime now = m_clock.BootNow();
+  while (!m_accepted.empty() &&
+         (m_accepted.size() > kMaxQueue || now - m_accepted.front().accepted_at > kMaxCopyAge)) {
+    m_accepted.pop_front();
+  }
+}
+
+void RecordWriter::OnServiceRestored() {
+  if (IsMutantEnabled("forwarder_forgets_accepted_records")) {
+    return;
+  }
+  m_lease.reset();
+  RemoveOldWrites();
+  for (AcceptedWrite& accepted : std::exchange(m_accepted, {})) {
+    const bool is_waiting = std::any_of(m_queue.begin(), m_queue.end(),
+                                        [&accepted](const platform::KeyValueWrite& write) {
+                                          return write.key == accepted.write.key;
+                                        });
+    if (!is_waiting) {
+      Put(std::move(accepted.write.key), std::move(accepted.write.value));
+    }
+  }
+}
+
 void RecordWriter::OnConnectionEnd(http1::ConnectionEnd end, std::string_view detail) {
   if (!m_call_in_progress) {
     m_connection.reset();
--- a/src/forward/record_writer.h
+++ b/src/forward/record_writer.h
@@ -13,6 +13,7 @@
 #include "core/clock.h"
 #include "core/metrics.h"
 #include "core/random_source.h"
+#include "forward/prefix_feed.h"
 #include "http1/client_connection.h"
 #include "net/event_loop.h"
 #include "platform/key_value_codec.h"
@@ -32,10 +33,11 @@
 };
 
 /// \brief Writes records that expire, in order, and repeats failed writes until the service accepts
-/// them. Records that are written within a short time expire together.
+/// them. Records that are written within a short time expire together. When the service has come
+/// back from an older copy, the last records are written again.
 ///
 /// A write may take effect although it appeared to fail, so a repeated write must do no harm.
-class RecordWriter final : private http1::ResponseObserver {
+class RecordWriter final : public FeedListener, private http1::ResponseObserver {
  public:
   /// \brief All references must outlive the object.
   RecordWriter(net::EventLoop& loop, const Clock& clock, RandomSource& random,
@@ -48,14 +50,28 @@
   /// \brief Writes a record. If too many wait, the oldest one is dropped with a log line.
   void Put(std::string key, std::string value);
 
+  void OnSnapshot(const std::vector<platform::KeyValueItem>&, BootTime) override {}
+  void OnChanges(const std::vector<platform::KeyValueItem>&, BootTime) override {}
+  void OnServiceRestored() override;
+
   /// \brief Returns whether a write has not been accepted yet.
   [[nodiscard]] bool IsBusy() const noexcept { return !m_queue.empty(); }
 
  private:
   enum class Call : std::uint8_t { kLease, kPut };
 
+  /// A record that the service has accepted.
+  struct AcceptedWrite {
+    platform::KeyValueWrite write;
+    BootTime accepted_at{};
+  };
+
   void SendCall();
   void FinishCall();
+  /// Moves the records of a successful call from the queue to the accepted ones.
+  void AcceptWrites();
+  /// Forgets accepted records that a copy of the service contains.
+  void RemoveOldWrites();
   void OnCallFailed(std::string_view reason);
   void OnTimer();
   void CountCall(std::string_view result);
@@ -76,6 +92,8 @@
   std::unique_ptr<http1::ClientConnection> m_connection;
   net::Timer m_timer;
   std::deque<platform::KeyValueWrite> m_queue;
+  /// The oldest first, the last one of each key.
+  std::deque<AcceptedWrite> m_accepted;
   /// Number of records at the front of the queue that the current call writes.
   std::size_t m_in_call = 0;
   bool m_call_in_progress = false;
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -136,6 +136,11 @@
   /// \brief Returns the current keys that begin with a prefix.
   [[nodiscard]] std::vector<std::string> Keys(std::string_view prefix) const;
 
+  /// \brief Returns the value of a key that exists.
+  [[nodiscard]] const std::string& Value(const std::string& key) const {
+    return m_items.at(key).value;
+  }
+
   [[nodiscard]] std::string Address() const { return m_server.Address(); }
 
   /// Number of calls by path.
--- a/tests/unit/forward_record_writer_test.cc
+++ b/tests/unit/forward_record_writer_test.cc
@@ -77,6 +77,35 @@
   cr_assert_eq(fixture.store.calls["/lease"], 2);
 }
 
+// Guards against records, such as reports of crashes, that routers which start later never see: the
+// key-value service has come back from a copy that was taken before they were written, and has
+// forgotten their lease.
+Test(record_writer, writes_lost_records_again_when_the_service_was_restored) {
+  Fixture fixture;
+  fixture.writer.Put("router/a", "1");
+  cr_assert(fixture.Finish());
+  const testing::FakeStore::Copy copy = fixture.store.TakeCopy();
+  fixture.store.EndLeases();
+  fixture.writer.Put("router/b", "1");
+  fixture.writer.Put("router/b", "2");
+  cr_assert(fixture.Finish());
+  fixture.store.Restore(copy);
+  fixture.writer.OnServiceRestored();
+  cr_assert(fixture.Finish());
+  cr_assert(fixture.store.Keys("router/") == Keys({"router/a", "router/b"}));
+  cr_assert_eq(fixture.store.Value("router/b"), std::string("2"));
+}
+
+// Guards against writing outdated records again: a copy is some seconds old.
+Test(record_writer, leaves_old_records_to_the_copy) {
+  Fixture fixture;
+  fixture.writer.Put("router/a", "1");
+  cr_assert(fixture.Finish());
+  fixture.clock.Suspend(120s);
+  fixture.writer.OnServiceRestored();
+  cr_assert_not(fixture.writer.IsBusy());
+}
+
 // Guards against memory and calls that grow while the service is down.
 Test(record_writer, keeps_a_limited_number_of_records) {
   Fixture fixture;
