--- a/tests/unit/forward_evacuation_test.cc
+++ b/tests/unit/forward_evacuation_test.cc
@@ -92,6 +92,36 @@
   cr_assert_eq(fleet.ArrivalsAtFirst(5), 5);
 }
 
+// Guards against requests to the endpoints of an evacuated zone after the key-value service has
+// come back from a copy that is older than the evacuation (EVAC): the operators write it again.
+Test(forward_evacuation, stays_until_the_operators_have_written_it_again, .timeout = 30) {
+  TwoZones fleet;
+  const testing::FakeStore::Copy copy = fleet.store.TakeCopy();
+  fleet.Evacuate("zone-1");
+  fleet.store.SetFault(503);
+  fleet.loop.RunFor(300ms);
+  fleet.store.Restore(copy);
+  fleet.store.SetFault(0);
+  fleet.loop.RunFor(kWatchTime);
+  cr_assert_eq(fleet.ArrivalsAtFirst(5), 0);
+  fleet.Evacuate("zone-1");
+  fleet.loop.RunFor(3s);
+  cr_assert_eq(fleet.ArrivalsAtFirst(5), 0);
+}
+
+// Guards against an evacuation that stays in force although the operators don't write it again.
+Test(forward_evacuation, ends_if_the_operators_do_not_write_it_again, .timeout = 30) {
+  TwoZones fleet;
+  const testing::FakeStore::Copy copy = fleet.store.TakeCopy();
+  fleet.Evacuate("zone-1");
+  fleet.store.SetFault(503);
+  fleet.loop.RunFor(300ms);
+  fleet.store.Restore(copy);
+  fleet.store.SetFault(0);
+  fleet.loop.RunFor(kWatchTime + 3s);
+  cr_assert_eq(fleet.ArrivalsAtFirst(5), 5);
+}
+
 // Guards against a router that learns of an evacuation only by a change: it has just started.
 Test(forward_evacuation, is_known_from_the_start, .timeout = 30) {
   TwoZones fleet;
