Confirm nothing by a copy that may lack a configuration

After the key-value service had come back from an older copy, a router took the first read as proof that its configuration was the newest. If the copy lacked a configuration that revokes a key, and the router lost the service again before the operators had written it again, it accepted the key for longer than the revocation bound (CONFIG).

Change: for 1 s after a restore, answers of the service confirm nothing; the watch that runs then ends at that time, so that the confirmation isn't later than necessary.

prefix_feed/confirms_nothing_by_a_copy_that_may_lack_changes fails without it (mutant forwarder_trusts_restored_confirmations).

--- a/src/forward/prefix_feed.cc
+++ b/src/forward/prefix_feed.cc
@@ -41,6 +41,10 @@
 // it, fit into the smallest instance.
 constexpr std::size_t kMaxAnswerBytes = 8U << 20U;
 
+// Time after a restore in which operators write again what the service has lost. A longer time
+// would leave too little of the key revocation bound after an outage.
+constexpr std::chrono::milliseconds kRewriteTime = 1'000ms;
+
 constexpr int kOk = 200;
 constexpr int kGone = 410;
 constexpr int kTooManyRequests = 429;
@@ -101,6 +105,11 @@
     request = m_codec.RangeRequest(m_settings.prefix, m_items.empty() ? "" : m_items.back().key);
   } else {
     m_wait = std::max(m_next_wait, kMinWait);
+    if (m_sent_at < m_rewritten_at) {
+      // The watch that ends after this time can confirm the known state.
+      m_wait = std::min(m_wait, std::chrono::ceil<std::chrono::milliseconds>(m_rewritten_at -
+                                                                             m_sent_at + kMinWait));
+    }
     request = m_codec.WatchRequest(m_settings.prefix, m_watch_after, m_wait);
   }
   m_timer.Start(m_wait + kAnswerTimeout);
@@ -121,6 +130,7 @@
   const std::optional<platform::Era> before = std::exchange(m_era, era);
   if (before && *before != *era) {
     m_is_restored = true;
+    m_rewritten_at = m_clock.BootNow() + kRewriteTime;
     Log(kKeyValueRestored, {{"feed", m_settings.name},
                             {"era", *era},
                             {"before", *before},
@@ -258,7 +268,7 @@
                       {"era", m_era.value_or(0)},
                       {"revision", m_snapshot_revision},
                       {"items", items.size()}});
-  m_listener.OnSnapshot(items, m_snapshot_sent_at);
+  m_listener.OnSnapshot(items, AcrossEras(m_snapshot_sent_at));
   ScheduleCall(0ms);
 }
 
@@ -289,7 +299,7 @@
     // The response to this call may still follow, and would be taken for that to the next one.
     m_connection.reset();
   }
-  m_listener.OnChanges(page.changes, valid_as_of);
+  m_listener.OnChanges(page.changes, AcrossEras(valid_as_of));
   ScheduleCall(pause);
 }
 
@@ -332,6 +342,13 @@
   return ran_full_wait ? m_sent_at + waited : m_connection_used_since;
 }
 
+BootTime PrefixFeed::AcrossEras(BootTime valid_as_of) noexcept {
+  if (valid_as_of >= m_rewritten_at || IsMutantEnabled("forwarder_trusts_restored_confirmations")) {
+    m_valid_as_of = std::max(m_valid_as_of, valid_as_of);
+  }
+  return m_valid_as_of;
+}
+
 void PrefixFeed::Resynchronise() {
   m_phase = Phase::kRange;
   m_items.clear();
--- a/src/forward/prefix_feed.h
+++ b/src/forward/prefix_feed.h
@@ -18,7 +18,7 @@
 namespace wagtailwind::forward {
 
 /// \brief Receives the items and changes that a feed reads. They include all changes that were made
-/// before `valid_as_of`.
+/// before `valid_as_of`, also those that a restored service had lost.
 class FeedListener {
  public:
   virtual ~FeedListener() = default;
@@ -99,6 +99,9 @@
   [[nodiscard]] std::chrono::milliseconds PauseAfter(const platform::WatchPage& page) const;
   /// Returns the time up to which a watch response proves the absence of further changes.
   [[nodiscard]] BootTime ValidAsOf(const platform::WatchPage& page) const noexcept;
+  /// Returns the time up to which the listener knows all changes, after an answer that proves this
+  /// up to `valid_as_of` for the current era of the service.
+  [[nodiscard]] BootTime AcrossEras(BootTime valid_as_of) noexcept;
   void OnTimer();
   /// Reads the whole prefix again.
   void Resynchronise();
@@ -141,6 +144,10 @@
   std::optional<platform::Era> m_era;
   /// The listener does not know yet that the service was restored.
   bool m_is_restored = false;
+  /// Time from which a restored service contains again what it had lost.
+  BootTime m_rewritten_at{};
+  /// Time up to which the listener knows all changes.
+  BootTime m_valid_as_of{};
   /// Revision of the service at the end of the last watch.
   platform::Revision m_last_revision = 0;
   /// Wait of the next watch; zero after an interruption, to confirm the known state at once.
--- a/tests/unit/forward_prefix_feed_test.cc
+++ b/tests/unit/forward_prefix_feed_test.cc
@@ -157,6 +157,29 @@
   cr_assert_eq(fixture.listener.first_items, 29);
 }
 
+// Guards against accepting a key for longer than allowed: the copy from which the service has come
+// back may lack the configuration that revokes it, until the operators have written it again.
+Test(prefix_feed, confirms_nothing_by_a_copy_that_may_lack_changes) {
+  Fixture fixture;
+  fixture.store.Put("endpoint/a", "1");
+  fixture.Start();
+  cr_assert(fixture.RunUntil([&] { return fixture.listener.quiet_watches == 1; }));
+  const BootTime before = fixture.listener.confirmed_at;
+  fixture.store.SetFault(503);
+  cr_assert(fixture.RunUntil([&] { return fixture.listener.lost == 1; }));
+  fixture.store.Restore(fixture.store.TakeCopy());
+  const BootTime restored = fixture.clock.BootNow();
+  fixture.store.SetFault(0);
+  cr_assert(fixture.RunUntil([&] { return fixture.listener.snapshots == 2; }));
+  cr_assert(fixture.listener.confirmed_at == before);
+  fixture.store.Put("endpoint/b", "1");
+  cr_assert(fixture.RunUntil([&] { return fixture.listener.keys.size() == 1; }));
+  cr_assert(fixture.listener.confirmed_at == before);
+  cr_assert(fixture.RunUntil([&] { return fixture.listener.confirmed_at > before; }));
+  cr_assert(fixture.listener.confirmed_at >= restored + 1s);
+  cr_assert(fixture.clock.BootNow() < restored + 2s);
+}
+
 // Guards against waiting forever for a service that neither responds nor closes, as when a
 // connection was dropped without a reset.
 Test(prefix_feed, gives_up_a_silent_call_and_recovers) {
