Log the content of requests whose connection was lost

The logs could not tell whether the requests that were cut when an endpoint crashed are one request that comes again. attempt_failed now has a hash of method, host, target, organisation and body. No change of logic.

--- a/src/forward/forward_task.cc
+++ b/src/forward/forward_task.cc
@@ -75,6 +75,7 @@
   if (!FindRoute() || !CheckKey()) {
     return;
   }
+  m_content = HashContent();
   ReadDeadline();
   if (!CheckStop() || !CheckPrompt() || !FindEndpoints()) {
     return;
@@ -154,6 +155,15 @@
   }
 }
 
+std::uint64_t ForwardTask::HashContent() const {
+  const http1::MessageHead& head = m_request.head;
+  std::uint64_t hash = StableHash(head.method);
+  hash = StableHash(http::FindHeader(head.headers, "Host"), hash);
+  hash = StableHash(head.target, hash);
+  hash = StableHash(m_organisation.value(), hash);
+  return StableHash(m_request.body, hash);
+}
+
 void ForwardTask::ReadDeadline() {
   const auto asked =
       ParseMilliseconds(http::FindHeader(m_request.head.headers, m_context.names.deadline));
--- a/src/forward/forward_task.h
+++ b/src/forward/forward_task.h
@@ -95,6 +95,9 @@
   [[nodiscard]] bool AreKeysConfirmed() const;
   /// Whether the request's key, if it needs one, is still accepted.
   [[nodiscard]] bool IsKeyAccepted() const;
+  /// Returns a hash of what the request asks for, and for whom. It is the same on all routers, and
+  /// each time that the request comes again.
+  [[nodiscard]] std::uint64_t HashContent() const;
   /// Refuses an unknown route or key: permanently, or with a retry time if the configuration may be
   /// outdated.
   void RefuseUnknown(requests::FailureReason reason);
@@ -245,6 +248,7 @@
   /// Owner of the request's key; null if it needs none.
   const ApiKeyOwner* m_key_owner = nullptr;
   std::uint32_t m_priority = 0;
+  std::uint64_t m_content = 0;
   ServiceName m_service;
   SteadyTime m_deadline{};
   std::vector<balancing::EndpointPtr> m_ranked;
--- a/src/forward/forward_task_attempts.cc
+++ b/src/forward/forward_task_attempts.cc
@@ -217,6 +217,7 @@
        {"answer_began", attempt.last_event_at ? 1 : 0},
        {"events", m_events},
        {"parts", m_prompt ? ToText(m_prompt->parts) : std::string()},
+       {"content", balancing::ToText(balancing::PromptPart{m_content})},
        {"after_ms", detail::ToMilliseconds(m_context.clock.Now() - attempt.sent_at)}});
   CountAttempt("lost");
   endpoint->health.OnFailure(balancing::AttemptFailure::kConnectionLost, m_context.clock.Now());
