Quarantine requests under which endpoints crash, on all routers

Cause: crashes were traced to parts of prompts only. A request without a prompt was forgotten with its attempt, and each of its repeats began at zero on each router. A repeat within one caller's attempt ended a second endpoint.

Change: the content of a request, a hash of method, host, target, organisation and body, counts as a part that only its repeats share. So the quarantine, the check whether an endpoint has crashed, and the reports to the other routers hold for all requests. An answer clears the content.

--- a/src/balancing/prompt_quarantine.cc
+++ b/src/balancing/prompt_quarantine.cc
@@ -255,6 +255,11 @@
   return true;
 }
 
+bool PromptQuarantine::IsSuspected(std::span<const PromptPart> parts) const {
+  return std::any_of(parts.begin(), parts.end(),
+                     [this](PromptPart part) { return m_suspected.contains(part); });
+}
+
 void PromptQuarantine::RemoveExpired(SteadyTime now) {
   const std::size_t removed = std::erase_if(
       m_crashes, [now](const Crash& crash) { return now - crash.at > kQuarantineTime; });
--- a/src/balancing/prompt_quarantine.h
+++ b/src/balancing/prompt_quarantine.h
@@ -16,10 +16,11 @@
 
 namespace wagtailwind::balancing {
 
-/// \brief A prompt that waited for its first event when its endpoint crashed.
+/// \brief A request that waited for its answer, or its first event, when its endpoint crashed.
 struct SuspectPrompt {
   /// Id of the request.
   std::string request;
+  /// The parts of its prompt, if it has one, and a hash of its content as a whole.
   std::vector<PromptPart> parts{};
   /// The head of the answer had arrived: the endpoint had begun to answer this prompt.
   bool answering = false;
@@ -42,9 +43,10 @@
   std::size_t crashes = 0;
 };
 
-/// \brief Finds the parts of prompts under which endpoints crash, from the reports of all routers.
+/// \brief Finds the parts of prompts, or the requests, under which endpoints crash, from the
+/// reports of all routers. The content of a request counts as a part that only its repeats share.
 ///
-/// The prompt that crashes an endpoint is among those for which no event has arrived. A part is
+/// The request that crashes an endpoint is among those for which no event has arrived. A part is
 /// suspected by each crash of an endpoint with such a prompt, and cleared by each answer to a
 /// prompt that contains it. Parts that always occur together are quarantined only together, so that
 /// a part that sound prompts share is cleared by the next of them.
@@ -69,6 +71,9 @@
   /// quarantine lasts at least kQuarantineTime beyond the last such call.
   [[nodiscard]] bool IsQuarantined(std::span<const PromptPart> parts, SteadyTime now);
 
+  /// \brief Returns whether a request with one of these parts may have caused a crash.
+  [[nodiscard]] bool IsSuspected(std::span<const PromptPart> parts) const;
+
   /// \brief Forgets crashes that are older than kQuarantineTime.
   void RemoveExpired(SteadyTime now);
 
--- a/src/forward/forward_task.cc
+++ b/src/forward/forward_task.cc
@@ -75,9 +75,8 @@
   if (!FindRoute() || !CheckKey()) {
     return;
   }
-  m_content = HashContent();
   ReadDeadline();
-  if (!CheckStop() || !CheckPrompt() || !FindEndpoints()) {
+  if (!CheckStop() || !CheckQuarantine() || !FindEndpoints()) {
     return;
   }
   if (!IsMutantEnabled("forwarder_has_no_time_limit")) {
@@ -155,13 +154,13 @@
   }
 }
 
-std::uint64_t ForwardTask::HashContent() const {
+balancing::PromptPart ForwardTask::HashContent() const {
   const http1::MessageHead& head = m_request.head;
   std::uint64_t hash = StableHash(head.method);
   hash = StableHash(http::FindHeader(head.headers, "Host"), hash);
   hash = StableHash(head.target, hash);
   hash = StableHash(m_organisation.value(), hash);
-  return StableHash(m_request.body, hash);
+  return balancing::PromptPart{StableHash(m_request.body, hash)};
 }
 
 void ForwardTask::ReadDeadline() {
@@ -208,22 +207,31 @@
   return std::nullopt;
 }
 
-bool ForwardTask::CheckPrompt() {
-  if (!m_route->has_prompt) {
-    return true;
+bool ForwardTask::CheckQuarantine() {
+  if (m_route->has_prompt) {
+    m_prompt = balancing::ParsePrompt(
+        http::FindHeader(m_request.head.headers, m_context.names.prompt_parts));
+  }
+  if (m_prompt) {
+    m_parts = m_prompt->parts;
+  }
+  if (m_prompt || !IsMutantEnabled("forwarder_quarantines_prompts_only")) {
+    m_parts.push_back(HashContent());
   }
-  m_prompt = balancing::ParsePrompt(
-      http::FindHeader(m_request.head.headers, m_context.names.prompt_parts));
   if (!IsQuarantined()) {
     return true;
   }
-  Refuse(requests::HttpStatus(FailureReason::kPromptQuarantined), FailureReason::kPromptQuarantined,
+  Refuse(requests::HttpStatus(QuarantineReason()), QuarantineReason(),
          balancing::PromptQuarantine::kQuarantineTime);
   return false;
 }
 
 bool ForwardTask::IsQuarantined() const {
-  return m_prompt && m_context.quarantine.IsQuarantined(m_prompt->parts, m_context.clock.Now());
+  return m_context.quarantine.IsQuarantined(m_parts, m_context.clock.Now());
+}
+
+FailureReason ForwardTask::QuarantineReason() const noexcept {
+  return m_prompt ? FailureReason::kPromptQuarantined : FailureReason::kRequestQuarantined;
 }
 
 bool ForwardTask::FindEndpoints() {
--- a/src/forward/forward_task.h
+++ b/src/forward/forward_task.h
@@ -97,16 +97,17 @@
   [[nodiscard]] bool IsKeyAccepted() const;
   /// Returns a hash of what the request asks for, and for whom. It is the same on all routers, and
   /// each time that the request comes again.
-  [[nodiscard]] std::uint64_t HashContent() const;
+  [[nodiscard]] balancing::PromptPart HashContent() const;
   /// Refuses an unknown route or key: permanently, or with a retry time if the configuration may be
   /// outdated.
   void RefuseUnknown(requests::FailureReason reason);
   /// Refuses a request whose key may have been revoked.
   void RefuseUnconfirmed();
-  /// Reads the parts of the prompt, and refuses one that crashes endpoints.
-  [[nodiscard]] bool CheckPrompt();
-  /// Whether endpoints crash under the request's prompt.
+  /// Reads the parts of the request, and refuses one that crashes endpoints.
+  [[nodiscard]] bool CheckQuarantine();
+  /// Whether endpoints crash under the request.
   [[nodiscard]] bool IsQuarantined() const;
+  [[nodiscard]] requests::FailureReason QuarantineReason() const noexcept;
   [[nodiscard]] bool FindEndpoints();
   /// Refuses a request that would be late, or make more urgent ones late. `cost` is its work by the
   /// caller's token counts.
@@ -141,9 +142,9 @@
   /// Ends the current attempt as lost, and runs the next step after a delay.
   void FailAttempt(requests::FailureReason reason, std::string_view detail,
                    std::chrono::milliseconds retry_delay = std::chrono::milliseconds(0));
-  /// Reports a prompt that waited for its first event when the endpoint closed the connection.
-  /// Returns the time after which it is known whether the prompt may be repeated.
-  [[nodiscard]] std::chrono::milliseconds ReportLostPrompt();
+  /// Reports a request that waited for its answer when the endpoint closed the connection. Returns
+  /// the time after which it is known whether the request may be repeated.
+  [[nodiscard]] std::chrono::milliseconds ReportLostRequest();
   void OnRetryTimer();
   void OnSilenceTimeout();
   /// Whether a silent request may move to another endpoint now.
@@ -248,12 +249,13 @@
   /// Owner of the request's key; null if it needs none.
   const ApiKeyOwner* m_key_owner = nullptr;
   std::uint32_t m_priority = 0;
-  std::uint64_t m_content = 0;
   ServiceName m_service;
   SteadyTime m_deadline{};
   std::vector<balancing::EndpointPtr> m_ranked;
   /// Empty for requests without a prompt.
   std::optional<balancing::SharedPrompt> m_prompt;
+  /// What crashes of endpoints are traced to: the parts of the prompt, and the content as a whole.
+  std::vector<balancing::PromptPart> m_parts;
   bool m_at_home = false;
   /// Endpoint from which other endpoints fetch the prompt's shared parts; null if the first
   /// endpoint is expected to have them.
--- a/src/forward/forward_task_answer.cc
+++ b/src/forward/forward_task_answer.cc
@@ -269,8 +269,10 @@
     m_context.metrics.GetDuration("forward_event_gap_seconds")
         .Record(now - *m_current.last_event_at);
   }
+  if (!m_current.last_event_at) {
+    m_context.quarantine.OnAnswerBegan(m_parts, now);
+  }
   if (!m_current.last_event_at && m_prompt) {
-    m_context.quarantine.OnAnswerBegan(m_prompt->parts, now);
     // Only long prompts at the endpoint that is expected to cache their parts tell whether it does.
     if (m_at_home && m_current.number == 1 && balancing::IsLongPrompt(*m_prompt)) {
       m_context.cached_prompts[m_service.value()].OnFirstEvent(m_prompt->key, endpoint.record,
@@ -354,6 +356,9 @@
     case AnswerKind::kEvents:
       CountAttempt("answered");
       endpoint->health.OnSuccess(now);
+      if (m_current.kind == AnswerKind::kBuffered) {
+        m_context.quarantine.OnAnswerBegan(m_parts, now);
+      }
       if (m_current.kind == AnswerKind::kBuffered && !m_prompt) {
         // The load report of this answer is exact, unlike the estimate when the call began.
         endpoint->performance.OnCall(now - m_current.sent_at, load, endpoint->record.slots, now);
@@ -444,7 +449,7 @@
     return;
   }
   const bool is_lost = end == http1::ConnectionEnd::kClosed || end == http1::ConnectionEnd::kReset;
-  FailAttempt(FailureReason::kConnectionLost, detail, is_lost ? ReportLostPrompt() : 0ms);
+  FailAttempt(FailureReason::kConnectionLost, detail, is_lost ? ReportLostRequest() : 0ms);
 }
 
 }  // namespace wagtailwind::forward
--- a/src/forward/forward_task_attempts.cc
+++ b/src/forward/forward_task_attempts.cc
@@ -58,7 +58,7 @@
   }
   if (step.kind == router::Step::Kind::kAttempt && IsQuarantined()) {
     if (!ResumeSetAside()) {
-      Finish(m_decision->OnAbort(FailureReason::kPromptQuarantined));
+      Finish(m_decision->OnAbort(QuarantineReason()));
     }
     return;
   }
@@ -217,7 +217,7 @@
        {"answer_began", attempt.last_event_at ? 1 : 0},
        {"events", m_events},
        {"parts", m_prompt ? ToText(m_prompt->parts) : std::string()},
-       {"content", balancing::ToText(balancing::PromptPart{m_content})},
+       {"content", balancing::ToText(HashContent())},
        {"after_ms", detail::ToMilliseconds(m_context.clock.Now() - attempt.sent_at)}});
   CountAttempt("lost");
   endpoint->health.OnFailure(balancing::AttemptFailure::kConnectionLost, m_context.clock.Now());
@@ -239,17 +239,19 @@
   RunStep(std::move(step));
 }
 
-std::chrono::milliseconds ForwardTask::ReportLostPrompt() {
+std::chrono::milliseconds ForwardTask::ReportLostRequest() {
   const bool is_answering = m_current.kind == AnswerKind::kEvents;
-  if (!m_prompt || !m_current.sent || m_current.last_event_at ||
+  if (m_parts.empty() || !m_current.sent || m_current.last_event_at ||
       !(is_answering || m_current.kind == AnswerKind::kNone)) {
     return 0ms;
   }
+  // The first repeat of a request that waited is not delayed, since most are cut by chance.
+  const bool is_checked = is_answering || m_context.quarantine.IsSuspected(m_parts);
   m_context.crashes.OnConnectionLost(m_current.connection->endpoint,
                                      {.request = std::string(m_id.substr(0, kMaxReportedIdLength)),
-                                      .parts = m_prompt->parts,
+                                      .parts = m_parts,
                                       .answering = is_answering});
-  return is_answering ? kCrashCheckTime : 0ms;
+  return is_checked ? kCrashCheckTime : 0ms;
 }
 
 void ForwardTask::OnRetryTimer() { RunStep(std::move(m_delayed_step)); }
--- a/src/forward/forward_task_response.cc
+++ b/src/forward/forward_task_response.cc
@@ -172,7 +172,7 @@
   std::optional<std::chrono::milliseconds> retry_after = RetryAfterWait(EndpointWait());
   if (reason == FailureReason::kDeadlineExceeded) {
     retry_after.reset();
-  } else if (reason == FailureReason::kPromptQuarantined) {
+  } else if (reason == QuarantineReason()) {
     retry_after = balancing::PromptQuarantine::kQuarantineTime;
   }
   Refuse(detail::kStatusUnavailable, reason, retry_after);
@@ -200,8 +200,7 @@
        {"attempts", m_decision ? m_decision->attempts() : 0},
        {"prompt", m_prompt ? m_prompt->key : 0},
        {"prompt_tokens", m_prompt ? m_prompt->tokens : 0},
-       {"parts",
-        reason == FailureReason::kPromptQuarantined ? ToText(m_prompt->parts) : std::string()},
+       {"parts", reason == QuarantineReason() ? balancing::ToText(m_parts) : std::string()},
        {"fetch_from", m_cached_at ? m_cached_at->record.name.value() : std::string()},
        {"endpoint", m_last_endpoint.value()},
        {"events", m_events},
--- a/src/requests/outcome.cc
+++ b/src/requests/outcome.cc
@@ -46,6 +46,7 @@
     ReasonEntry{FailureReason::kUnknownApiKey, "unknown_api_key", 401},
     ReasonEntry{FailureReason::kApiKeyNotConfirmed, "api_key_not_confirmed", 503},
     ReasonEntry{FailureReason::kPromptQuarantined, "prompt_quarantined", 503},
+    ReasonEntry{FailureReason::kRequestQuarantined, "request_quarantined", 503},
 };
 
 constexpr const ReasonEntry& Find(FailureReason reason) noexcept {
--- a/src/requests/outcome.h
+++ b/src/requests/outcome.h
@@ -53,6 +53,7 @@
   kUnknownApiKey,
   kApiKeyNotConfirmed,
   kPromptQuarantined,
+  kRequestQuarantined,
 };
 
 /// \brief Stable snake-case name of a reason, used in JSON error bodies.
