Trace crashes to requests whose answer was cut in its body

forward_crashing_request/goes_to_few_endpoints_that_begin_to_answer failed before: all 16 endpoints crash.

--- a/src/forward/forward_task_attempts.cc
+++ b/src/forward/forward_task_attempts.cc
@@ -241,8 +241,10 @@
 
 std::chrono::milliseconds ForwardTask::ReportLostRequest() {
   const bool is_answering = m_current.kind == AnswerKind::kEvents;
+  const bool is_waiting =
+      m_current.kind == AnswerKind::kNone || m_current.kind == AnswerKind::kBuffered;
   if (m_parts.empty() || !m_current.sent || m_current.last_event_at ||
-      !(is_answering || m_current.kind == AnswerKind::kNone)) {
+      !(is_answering || is_waiting)) {
     return 0ms;
   }
   // The first repeat of a request that waited is not delayed, since most are cut by chance.
--- a/tests/unit/forward_crashing_request_test.cc
+++ b/tests/unit/forward_crashing_request_test.cc
@@ -32,6 +32,10 @@
       AddEndpoint(name, [this, name](Connection& connection) {
         if (connection.body == kDeadlyBody) {
           ++crashes;
+          if (answers_before_crash) {
+            connection.Write("HTTP/1.1 200 OK\r\n" + testing::SignedHeaders(connection) +
+                             "Content-Length: 100\r\n\r\npart");
+          }
           CrashEndpoint(name);
         } else {
           testing::AnswerOk(connection);
@@ -48,6 +52,7 @@
     return Call("Attempt: r-" + std::to_string(++calls) + "\r\n", body, "POST")->status;
   }
 
+  bool answers_before_crash = false;
   int crashes = 0;
   int calls = 0;
 };
@@ -68,6 +73,17 @@
   }
 }
 
+// Guards against the same where the endpoint crashes in the middle of its answer.
+Test(forward_crashing_request, goes_to_few_endpoints_that_begin_to_answer, .timeout = 30) {
+  CrashingEndpoints fleet(RequestKind::kIdempotent);
+  fleet.answers_before_crash = true;
+  for (int i = 0; i < 12; ++i) {
+    cr_assert_neq(fleet.StatusOf(kDeadlyBody), 200);
+    cr_assert_eq(fleet.StatusOf("sound"), 200);
+  }
+  cr_assert_leq(fleet.crashes, kToleratedSends);
+}
+
 // Guards against each router finding out for itself which request crashes endpoints.
 Test(forward_crashing_request, is_known_to_a_router_that_has_not_sent_it, .timeout = 30) {
   CrashingEndpoints fleet(RequestKind::kIdempotent);
