--- a/tests/support/scripted_server.cc
+++ b/tests/support/scripted_server.cc
@@ -59,6 +59,9 @@
 
 bool ScriptedServer::Connection::OnHead(http1::MessageHead message) {
   head = std::move(message);
+  if (m_server.m_head_handler) {
+    m_server.m_head_handler(*this);
+  }
   return true;
 }
 
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -66,6 +66,9 @@
 
   void SetHandler(Handler handler) { m_handler = std::move(handler); }
 
+  /// \brief Calls `handler` for each head as well, before the body has been read.
+  void SetHeadHandler(Handler handler) { m_head_handler = std::move(handler); }
+
   /// \brief Starts or stops reading on all connections, including those accepted later.
   void SetReading(bool is_reading);
 
@@ -79,6 +82,7 @@
  private:
   net::EventLoop& m_loop;
   Handler m_handler;
+  Handler m_head_handler;
   bool m_is_reading = true;
   std::list<std::unique_ptr<Connection>> m_connections;
   net::TcpListener m_listener;
