Take a status outside 100 to 599 for no answer

An endpoint's answer with status 000 was taken for an interim response. The caller didn't get it, but its call waited for another one until the timeout of the route, and got 504; statuses of 600 and more were passed on.

Change: the connection ends as malformed, so that a request that may be repeated goes to another endpoint at once, and others get 502.

forward_odd_answer/is_no_answer_if_its_status_is_none failed before: 504 after 2 s.

--- a/src/http1/client_connection.cc
+++ b/src/http1/client_connection.cc
@@ -11,8 +11,10 @@
 // Limits the memory used for a malformed response. Endpoints send far smaller heads.
 constexpr std::size_t kMaxResponseHeadBytes = 64U << 10U;
 
+constexpr int kFirstStatus = 100;
 constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
 
 // Limits on what may precede the response to a call: interim responses, and late copies of earlier
 // responses.
@@ -134,6 +136,10 @@
 
 bool ClientConnection::OnHead(MessageHead head) {
   m_keep_alive = head.keep_alive;
+  if (head.status < kFirstStatus || head.status > kLastStatus) {
+    m_has_invalid_status = true;
+    return false;
+  }
   if (head.status < kFirstFinalStatus && !IsMutantEnabled("interim_response_is_final")) {
     // An interim response, which is followed by the final one.
     m_switched_protocol = head.status == kSwitchingProtocols;
@@ -148,6 +154,9 @@
 }
 
 std::string_view ClientConnection::Violation() const noexcept {
+  if (m_has_invalid_status) {
+    return "response with an invalid status";
+  }
   if (m_switched_protocol) {
     return "switched to another protocol without being asked";
   }
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -111,6 +111,7 @@
   bool m_in_call = false;
   bool m_skipping_response = false;
   bool m_keep_alive = false;
+  bool m_has_invalid_status = false;
   bool m_switched_protocol = false;
   /// Responses to other calls and interim responses that preceded the response to this call.
   int m_skipped_responses = 0;
--- a/tests/unit/forward_odd_answer_test.cc
+++ b/tests/unit/forward_odd_answer_test.cc
@@ -17,6 +17,7 @@
 using testing::SignedHeaders;
 using testing::SingleEndpoint;
 using testing::TestRoute;
+using testing::TwoEndpoints;
 
 using Connection = ScriptedServer::Connection;
 
@@ -62,3 +63,20 @@
     }
   }
 }
+
+// Guards against passing on an answer whose status is none (MIXED), and against waiting for another
+// answer behind it.
+Test(forward_odd_answer, is_no_answer_if_its_status_is_none, .timeout = 60) {
+  for (const char* status : {"000", "001", "099", "600", "999"}) {
+    const auto answer_oddly = [status](Connection& connection) {
+      connection.Write("HTTP/1.1 " + std::string(status) + " Odd\r\n" + SignedHeaders(connection) +
+                       "Content-Length: 0\r\n\r\n");
+    };
+    SingleEndpoint call(TestRoute(RequestKind::kNonIdempotent), answer_oddly);
+    const SteadyTime before = call.clock.Now();
+    cr_assert_eq(call.Call()->status, 502, "%s", status);
+    cr_assert(call.clock.Now() - before < 500ms);
+    TwoEndpoints lookup(TestRoute(RequestKind::kIdempotent, 2), answer_oddly, testing::AnswerOk);
+    cr_assert_eq(lookup.Call()->status, 200, "%s", status);
+  }
+}
