Restore the key-value service from older copies in the soak

A few times in each run, the service is away and comes back from its state of up to six seconds ago, in another era; operators write again at once, endpoints within 1.5 s.

--- a/tests/soak/deployment_wire.h
+++ b/tests/soak/deployment_wire.h
@@ -45,6 +45,7 @@
 /// \brief Server side of the deployment's key-value protocol.
 class DeploymentStoreWire final : public testing::StoreWire {
  public:
+  [[nodiscard]] std::string EraHeader() const override { return "Store-Era"; }
   [[nodiscard]] testing::StoreCall ParseCall(const std::string& target) const override;
   [[nodiscard]] std::vector<platform::KeyValueWrite> ParsePuts(
       const std::string& body) const override;
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -49,6 +49,12 @@
 constexpr std::chrono::milliseconds kMinEvacuation = 7'000ms;
 constexpr std::chrono::milliseconds kMaxEvacuation = 9'000ms;
 
+// Ages of the copies of the key-value service, and the time in which endpoints write their entries
+// again after a restore.
+constexpr std::chrono::milliseconds kCopyInterval = 500ms;
+constexpr std::chrono::milliseconds kMaxCopyAge = 6'000ms;
+constexpr std::chrono::milliseconds kRewriteTime = 1'500ms;
+
 constexpr std::chrono::milliseconds kSlowStore = 300ms;
 constexpr int kUnavailable = 503;
 
@@ -330,6 +336,10 @@
   return WithTargets({{.name = "endpoint_endless", .shortest = 500ms, .longest = 3'000ms}});
 }
 
+std::vector<FaultKind> SoakFleet::RestoreFaultKinds() const {
+  return {{.name = "store_restored", .shortest = 300ms, .longest = 2'000ms}};
+}
+
 std::vector<FaultKind> SoakFleet::LeavingFaultKinds() const {
   return WithTargets(
       {{.name = "endpoint_leave", .shortest = kMinDrain, .longest = kMaxDrain},
@@ -535,8 +545,11 @@
     m_store.SetDelay(begins ? kSlowStore : 0ms);
   } else {
     m_store_faults += begins ? 1 : -1;
+    if (!begins && fault_name == "restored") {
+      RestoreStore();
+    }
     if (begins) {
-      m_store.SetFault(fault_name == "down" ? kUnavailable : -1);
+      m_store.SetFault(fault_name == "silent" ? -1 : kUnavailable);
     } else if (m_store_faults == 0) {
       m_store.SetFault(0);
     }
@@ -544,6 +557,30 @@
   ReportFault(Ledger::kStore, begins);
 }
 
+void SoakFleet::TakeStoreCopy() {
+  const SteadyTime now = m_clock.Now();
+  if (m_copies.empty() || now - m_copies.back().first >= kCopyInterval) {
+    m_copies.emplace_back(now, m_store.TakeCopy());
+  }
+  while (now - m_copies.front().first > kMaxCopyAge) {
+    m_copies.pop_front();
+  }
+}
+
+void SoakFleet::RestoreStore() {
+  m_store.Restore(m_copies.front().second);
+  m_store.Put(kConfigurationKey, EncodeConfiguration(m_configuration));
+  const std::string zone_key = kEvacuationPrefix + ZoneOf(m_options.seed);
+  m_evacuations > 0 ? m_store.Put(zone_key, "{}") : m_store.Delete(zone_key);
+  for (const auto& endpoint : m_endpoints) {
+    const auto delay = std::chrono::milliseconds(
+        m_random.NextBelow(static_cast<std::uint64_t>(kRewriteTime.count())));
+    RunAfter(endpoint->terminating ? kRegistrationExpiry : delay, [this, &entry = *endpoint] {
+      entry.terminating ? m_store.Delete(kEndpointPrefix + entry.name) : PutEndpoint(entry);
+    });
+  }
+}
+
 void SoakFleet::SetLinkFault(LinkProxy& link, const std::string& scope,
                              const std::string& fault_name, bool begins) {
   link.SetFault(begins ? LinkFaultOf(fault_name) : LinkFault::kNone);
@@ -576,6 +613,7 @@
 void SoakFleet::Tick() {
   ReadEndpointLog();
   PutOddEntry();
+  TakeStoreCopy();
   for (std::size_t i = 0; i < m_routers.size(); ++i) {
     // Until it runs its program, a new process has the memory of the soak.
     if (m_clock.Now() - m_routers[i].started > kProgramStartTime) {
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <ios>
 #include <list>
@@ -58,6 +59,9 @@
   /// time, and zones are evacuated.
   [[nodiscard]] std::vector<histories::FaultKind> LeavingFaultKinds() const;
 
+  /// \brief Returns the kind in which the key-value service comes back from an older copy.
+  [[nodiscard]] std::vector<histories::FaultKind> RestoreFaultKinds() const;
+
   void Begin(const histories::Fault& fault) { Apply(fault, true); }
   void End(const histories::Fault& fault) { Apply(fault, false); }
 
@@ -123,6 +127,10 @@
   void BeginEndpointFault(const std::string& fault_name, Endpoint& endpoint);
   void EndEndpointFault(const std::string& fault_name, Endpoint& endpoint);
   void SetStoreFault(const std::string& fault_name, bool begins);
+  /// Keeps copies of the key-value service from the last seconds.
+  void TakeStoreCopy();
+  /// Restores the oldest copy. The operators and the endpoints write again what it lacks.
+  void RestoreStore();
   void ReadEndpointLog();
 
   net::EventLoop& m_loop;
@@ -133,6 +141,8 @@
   DeploymentStoreWire m_wire;
   testing::FakeStore m_store;
   int m_store_faults = 0;
+  /// The oldest first.
+  std::deque<std::pair<SteadyTime, testing::FakeStore::Copy>> m_copies;
   std::uint16_t m_next_port;
   std::vector<Router> m_routers;
   std::vector<std::unique_ptr<Endpoint>> m_endpoints;
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -52,6 +52,18 @@
   return end;
 }
 
+/// Plans a few restores of the key-value service. With more, it would hardly ever serve.
+std::vector<histories::Fault> MakeRestorePlan(const soak::SoakFleet& fleet, std::uint64_t seed,
+                                              std::chrono::milliseconds length) {
+  constexpr std::size_t kKeptOneIn = 8;
+  std::vector<histories::Fault> kept;
+  const auto all = histories::MakeFaultPlan(fleet.RestoreFaultKinds(), seed, length);
+  for (std::size_t i = 0; i < all.size(); i += kKeptOneIn) {
+    kept.push_back(all[i]);
+  }
+  return kept;
+}
+
 /// Plans faults of all kinds in the first half and only planned operations in the second half, so
 /// that the invariants that apply only without faults can be checked. Endpoints that announce that
 /// they leave, and evacuations, are planned beside the first half and after the second one.
@@ -65,7 +77,7 @@
   for (const auto& faults :
        {histories::MakeFaultPlan(fleet.FaultKinds(), seed, length / 2),
         histories::MakeFaultPlan(fleet.EndlessFaultKinds(), seed + 2, length / 2),
-        leaving(seed + 3)}) {
+        MakeRestorePlan(fleet, seed + 5, length / 2), leaving(seed + 3)}) {
     end = std::max(end, Append(faults, 0ms, plan));
   }
   end = Append(histories::MakeFaultPlan(fleet.PlannedFaultKinds(), seed + 1, length / 2),
--- a/tests/support/fake_store.cc
+++ b/tests/support/fake_store.cc
@@ -70,7 +70,7 @@
 }
 
 std::string FakeStore::AnswerText(int status, std::string_view body) const {
-  return HttpText(status, "Era: " + std::to_string(m_era) + "\r\n", body);
+  return HttpText(status, m_wire.EraHeader() + ": " + std::to_string(m_era) + "\r\n", body);
 }
 
 std::vector<std::string> FakeStore::Keys(std::string_view prefix) const {
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -46,6 +46,9 @@
  public:
   virtual ~StoreWire() = default;
 
+  /// \brief Name of the header that tells the era in all answers.
+  [[nodiscard]] virtual std::string EraHeader() const = 0;
+
   /// \brief Parses the target of a request.
   [[nodiscard]] virtual StoreCall ParseCall(const std::string& target) const = 0;
 
--- a/tests/support/forwarder_fixture.h
+++ b/tests/support/forwarder_fixture.h
@@ -86,6 +86,7 @@
   [[nodiscard]] platform::RangePage DecodeRange(std::string_view body) const override;
   [[nodiscard]] platform::WatchPage DecodeWatch(std::string_view body) const override;
 
+  [[nodiscard]] std::string EraHeader() const override { return "Era"; }
   [[nodiscard]] StoreCall ParseCall(const std::string& target) const override;
   [[nodiscard]] std::vector<platform::KeyValueWrite> ParsePuts(
       const std::string& body) const override;
