Trace crashes to requests whose endpoint was silent

If an endpoint crashed after its request had been set aside for another endpoint, nobody noticed: the connection isn't read meanwhile, and its end was taken for the silence that had been known before.

Change: when the attempt that was set aside is given up, the request is a suspect if the connection has ended.

forward_crashing_request/goes_to_few_endpoints_that_are_silent failed before (mutant forwarder_forgets_crashes_of_silent_endpoints).

--- a/src/forward/forward_task.h
+++ b/src/forward/forward_task.h
@@ -144,7 +144,7 @@
                    std::chrono::milliseconds retry_delay = std::chrono::milliseconds(0));
   /// Reports a request that waited for its answer when the endpoint closed the connection. Returns
   /// the time after which it is known whether the request may be repeated.
-  [[nodiscard]] std::chrono::milliseconds ReportLostRequest();
+  std::chrono::milliseconds ReportLostRequest(const Attempt& attempt, http1::ConnectionEnd end);
   void OnRetryTimer();
   void OnSilenceTimeout();
   /// Whether a silent request may move to another endpoint now.
--- a/src/forward/forward_task_answer.cc
+++ b/src/forward/forward_task_answer.cc
@@ -448,8 +448,7 @@
     RunStep(m_decision->OnNotHandedOver(m_current.number));
     return;
   }
-  const bool is_lost = end == http1::ConnectionEnd::kClosed || end == http1::ConnectionEnd::kReset;
-  FailAttempt(FailureReason::kConnectionLost, detail, is_lost ? ReportLostRequest() : 0ms);
+  FailAttempt(FailureReason::kConnectionLost, detail, ReportLostRequest(m_current, end));
 }
 
 }  // namespace wagtailwind::forward
--- a/src/forward/forward_task_attempts.cc
+++ b/src/forward/forward_task_attempts.cc
@@ -239,17 +239,19 @@
   RunStep(std::move(step));
 }
 
-std::chrono::milliseconds ForwardTask::ReportLostRequest() {
-  const bool is_answering = m_current.kind == AnswerKind::kEvents;
+std::chrono::milliseconds ForwardTask::ReportLostRequest(const Attempt& attempt,
+                                                         http1::ConnectionEnd end) {
+  const bool is_lost = end == http1::ConnectionEnd::kClosed || end == http1::ConnectionEnd::kReset;
+  const bool is_answering = attempt.kind == AnswerKind::kEvents;
   const bool is_waiting =
-      m_current.kind == AnswerKind::kNone || m_current.kind == AnswerKind::kBuffered;
-  if (m_parts.empty() || !m_current.sent || m_current.last_event_at ||
+      attempt.kind == AnswerKind::kNone || attempt.kind == AnswerKind::kBuffered;
+  if (!is_lost || m_parts.empty() || !attempt.sent || attempt.last_event_at ||
       !(is_answering || is_waiting)) {
     return 0ms;
   }
   // The first repeat of a request that waited is not delayed, since most are cut by chance.
   const bool is_checked = is_answering || m_context.quarantine.IsSuspected(m_parts);
-  m_context.crashes.OnConnectionLost(m_current.connection->endpoint,
+  m_context.crashes.OnConnectionLost(attempt.connection->endpoint,
                                      {.request = std::string(m_id.substr(0, kMaxReportedIdLength)),
                                       .parts = m_parts,
                                       .answering = is_answering});
@@ -363,6 +365,11 @@
 void ForwardTask::LoseSetAside() {
   if (m_set_aside) {
     m_decision->OnSetAsideLost();
+    // Its connection isn't read, so that its end has not been reported.
+    if (m_set_aside->connection->connection->HasEnded() &&
+        !IsMutantEnabled("forwarder_forgets_crashes_of_silent_endpoints")) {
+      ReportLostRequest(*m_set_aside, http1::ConnectionEnd::kClosed);
+    }
     EndLostAttempt(*m_set_aside, FailureReason::kEngineLost, "silent");
     m_set_aside.reset();
   }
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -78,6 +78,10 @@
   /// \brief Returns the bytes of requests that are held until the peer reads them.
   [[nodiscard]] std::size_t HeldBytes() const noexcept { return m_stream.HeldBytes(); }
 
+  /// \brief Returns whether the peer has closed or reset the connection, and all of its bytes have
+  /// been read. Tells so also while reading is stopped.
+  [[nodiscard]] bool HasEnded() const noexcept { return m_stream.HasEnded(); }
+
   void StopReading() noexcept { m_stream.StopReading(); }
   void StartReading() { m_stream.StartReading(); }
   void SetPeerTimeout(std::chrono::milliseconds timeout) noexcept {
--- a/tests/unit/forward_crashing_request_test.cc
+++ b/tests/unit/forward_crashing_request_test.cc
@@ -1,5 +1,7 @@
 // Requests under which endpoints crash, and which come again.
 
+#include <chrono>
+#include <list>
 #include <string>
 
 #include "support/forwarder_fixture.h"
@@ -31,12 +33,15 @@
       const std::string name = "e" + std::to_string(i);
       AddEndpoint(name, [this, name](Connection& connection) {
         if (connection.body == kDeadlyBody) {
-          ++crashes;
           if (answers_before_crash) {
             connection.Write("HTTP/1.1 200 OK\r\n" + testing::SignedHeaders(connection) +
                              "Content-Length: 100\r\n\r\npart");
           }
-          CrashEndpoint(name);
+          timers.emplace_back(loop, [this, name] {
+            ++crashes;
+            CrashEndpoint(name);
+          });
+          timers.back().Start(time_to_crash);
         } else {
           testing::AnswerOk(connection);
         }
@@ -52,6 +57,8 @@
     return Call("Attempt: r-" + std::to_string(++calls) + "\r\n", body, "POST")->status;
   }
 
+  std::chrono::milliseconds time_to_crash{0};
+  std::list<net::Timer> timers;
   bool answers_before_crash = false;
   int crashes = 0;
   int calls = 0;
@@ -84,6 +91,20 @@
   cr_assert_leq(fleet.crashes, kToleratedSends);
 }
 
+// Guards against the same where the endpoint crashes only after another one was asked, because it
+// was silent.
+Test(forward_crashing_request, goes_to_few_endpoints_that_are_silent, .timeout = 60) {
+  CrashingEndpoints fleet(RequestKind::kIdempotent);
+  // Between the time after which another endpoint is asked, and that after which it has accepted.
+  fleet.time_to_crash = 350ms;
+  while (fleet.crashes < kToleratedCrashes) {
+    cr_assert_neq(fleet.StatusOf(kDeadlyBody), 200);
+    fleet.loop.RunFor(500ms);
+  }
+  cr_assert_eq(fleet.StatusOf(kDeadlyBody), 503);
+  cr_assert_eq(fleet.StatusOf("sound"), 200);
+}
+
 // Guards against each router finding out for itself which request crashes endpoints.
 Test(forward_crashing_request, is_known_to_a_router_that_has_not_sent_it, .timeout = 30) {
   CrashingEndpoints fleet(RequestKind::kIdempotent);
--- a/tests/unit/mutants_test.sh
+++ b/tests/unit/mutants_test.sh
@@ -50,6 +50,7 @@
   [forwarder_trusts_restored_evacuations]=forward_evacuation/stays_until_the_operators_have_written_it_again
   [forwarder_trusts_restored_confirmations]=prefix_feed/confirms_nothing_by_a_copy_that_may_lack_changes
   [forwarder_quarantines_prompts_only]=forward_crashing_request/goes_to_few_endpoints
+  [forwarder_forgets_crashes_of_silent_endpoints]=forward_crashing_request/goes_to_few_endpoints_that_are_silent
   [forwarder_closes_new_connections]=forward_stop/answers_the_first_request_of_a_new_connection
 )
 passed=0
