Catch the mutant that stops at once with a seed that has more stops

The soak counts a missed mutant as a failure, as it should.

The invariant and the length stay the same.

--- a/tests/soak/soak_ctest.sh
+++ b/tests/soak/soak_ctest.sh
@@ -17,7 +17,7 @@
 # Seed, length and the invariant that is violated. With the first, planned stops coincide with open
 # requests; with the second, an endpoint sends an event without end.
 declare -A mutants=(
-  [forwarder_stops_at_once]="1 20 cut"
+  [forwarder_stops_at_once]="6 20 cut"
   [forwarder_keeps_endless_events]="1 10 memory"
   [forwarder_ignores_evacuations]="2302 20 evacuated"
   [forwarder_ignores_pauses]="2302 20 pause"
