Set up a lost evacuation in one place in its tests

Two tests of forward_evacuation had the same six lines: an evacuation, and a restore of the key-value service from before it. No change of what is tested; all eight tests of forward_evacuation pass.

--- a/tests/unit/forward_evacuation_test.cc
+++ b/tests/unit/forward_evacuation_test.cc
@@ -50,6 +50,16 @@
     loop.RunFor(kWatchTime);
   }
 
+  /// Evacuates a zone; then the key-value service comes back from a copy that is older.
+  void EvacuateAndLose(const std::string& zone) {
+    const testing::FakeStore::Copy copy = store.TakeCopy();
+    Evacuate(zone);
+    store.SetFault(503);
+    loop.RunFor(300ms);
+    store.Restore(copy);
+    store.SetFault(0);
+  }
+
   /// Sends requests and returns how many arrive at the first endpoint.
   int ArrivalsAtFirst(int requests) {
     const int before = first.requests;
@@ -96,12 +106,7 @@
 // come back from a copy that is older than the evacuation (EVAC): the operators write it again.
 Test(forward_evacuation, stays_until_the_operators_have_written_it_again, .timeout = 30) {
   TwoZones fleet;
-  const testing::FakeStore::Copy copy = fleet.store.TakeCopy();
-  fleet.Evacuate("zone-1");
-  fleet.store.SetFault(503);
-  fleet.loop.RunFor(300ms);
-  fleet.store.Restore(copy);
-  fleet.store.SetFault(0);
+  fleet.EvacuateAndLose("zone-1");
   fleet.loop.RunFor(kWatchTime);
   cr_assert_eq(fleet.ArrivalsAtFirst(5), 0);
   fleet.Evacuate("zone-1");
@@ -112,12 +117,7 @@
 // Guards against an evacuation that stays in force although the operators don't write it again.
 Test(forward_evacuation, ends_if_the_operators_do_not_write_it_again, .timeout = 30) {
   TwoZones fleet;
-  const testing::FakeStore::Copy copy = fleet.store.TakeCopy();
-  fleet.Evacuate("zone-1");
-  fleet.store.SetFault(503);
-  fleet.loop.RunFor(300ms);
-  fleet.store.Restore(copy);
-  fleet.store.SetFault(0);
+  fleet.EvacuateAndLose("zone-1");
   fleet.loop.RunFor(kWatchTime + 3s);
   cr_assert_eq(fleet.ArrivalsAtFirst(5), 5);
 }
